--- /dev/null
+++ b/src/coordination/header_check.cc
@@ -0,0 +1,1 @@
+#include "coordination/controller.h"
--- /dev/null
+++ b/src/coordination/messages.h
@@ -0,0 +1,140 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "state/record.h"
+#include "state/types.h"
+
+namespace snipehall {
+
+// Values that the controller exchanges with the outside. The protocol layer
+// encodes them, the transport layer carries them.
+
+// A record read from the log. `record` is empty when it could not be decoded.
+struct LogEntry {
+  LogOffset offset = 0;
+  std::optional<Record> record;
+};
+
+// One read of the log.
+struct LogRead {
+  // Oldest offset that the log still holds.
+  LogOffset first = 1;
+  // Offset that the next append will get.
+  LogOffset end = 1;
+  std::vector<LogEntry> entries;
+};
+
+// A range of a lease with its fencing token.
+struct LeasedRange {
+  HashRange range;
+  LogOffset token = 0;
+
+  bool operator==(const LeasedRange&) const = default;
+};
+
+// Extends a target's lease, and replaces its range set when `ranges` is set.
+struct LeaseOrder {
+  TargetId target;
+  Incarnation incarnation = 0;
+  // Offset of the record that last changed the target's range set.
+  LogOffset set = 0;
+  // End of the lease on the target's own clock, milliseconds.
+  std::int64_t deadline_ms = 0;
+  std::optional<std::vector<LeasedRange>> ranges;
+
+  bool operator==(const LeaseOrder&) const = default;
+};
+
+// A target's answer to a lease order or a status query.
+struct LeaseAnswer {
+  bool accepted = false;
+  Incarnation incarnation = 0;
+  // Reading of the target's monotonic clock when it answered, milliseconds.
+  std::int64_t clock_ms = 0;
+  LogOffset set = 0;
+  std::int64_t deadline_ms = 0;
+  // Requests in progress at the target.
+  int outstanding = 0;
+  // Requests in progress on ranges that the target no longer owns.
+  int leaving_ranges_in_progress = 0;
+  int slots = 0;
+  double load = 0;
+
+  bool operator==(const LeaseAnswer&) const = default;
+};
+
+// Exchanged between members of a lease group.
+struct Heartbeat {
+  InstanceId from;
+  Incarnation incarnation = 0;
+  // Offset of the last record that the sender has folded.
+  LogOffset offset = 0;
+  // Whether the sender's state has been confirmed since its start.
+  bool confirmed = false;
+  // Whether the sender stops gracefully and takes on no duties.
+  bool leaving = false;
+  // Time left of the latest lease that the sender extended, by target, in
+  // milliseconds on the sender's clock when it sent this.
+  std::map<TargetId, std::int64_t, std::less<>> lease_remaining_ms;
+
+  bool operator==(const Heartbeat&) const = default;
+};
+
+enum class PlatformRole { kEntry, kTarget };
+
+// One line of the platform's list, which lags.
+struct PlatformInstance {
+  std::string id;
+  PlatformRole role = PlatformRole::kTarget;
+  // Empty for entry instances.
+  ServiceName service;
+  ZoneName zone;
+  // "address:port". For an entry instance, the address of its peer link.
+  std::string address;
+  bool leaving = false;
+
+  bool operator==(const PlatformInstance&) const = default;
+};
+
+// Actions of the controller.
+
+struct SendLeaseOrder {
+  std::string address;
+  LeaseOrder order;
+};
+
+struct SendStatusQuery {
+  TargetId target;
+  std::string address;
+};
+
+struct AppendRecord {
+  Record record;
+};
+
+struct SendHeartbeat {
+  InstanceId to;
+  std::string address;
+  Heartbeat heartbeat;
+};
+
+// Asks a peer for the records from `from` on, because it has read further.
+struct FetchRecords {
+  InstanceId peer;
+  std::string address;
+  LogOffset from = 1;
+};
+
+using Action = std::variant<SendLeaseOrder,
+                            SendStatusQuery,
+                            AppendRecord,
+                            SendHeartbeat,
+                            FetchRecords>;
+
+}  // namespace snipehall
--- /dev/null
+++ b/src/state/hash_range.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "state/result.h"
+
+namespace snipehall {
+
+// A range of the 64-bit hash space; both ends are inclusive.
+struct HashRange {
+  std::uint64_t first = 0;
+  std::uint64_t last = UINT64_MAX;
+
+  bool Contains(std::uint64_t hash) const {
+    return first <= hash && hash <= last;
+  }
+  bool Overlaps(const HashRange& other) const {
+    return first <= other.last && other.first <= last;
+  }
+  bool IsSingleHash() const { return first == last; }
+
+  auto operator<=>(const HashRange&) const = default;
+};
+
+// Hash of a key: XXH3, 64 bits, seed 0.
+std::uint64_t HashKey(std::string_view key);
+
+// Sixteen lower-case hexadecimal digits.
+std::string ToHex(std::uint64_t hash);
+
+// Reads exactly sixteen hexadecimal digits.
+Result<std::uint64_t> ParseHex(std::string_view text);
+
+}  // namespace snipehall
--- /dev/null
+++ b/src/state/published.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <utility>
+
+namespace snipehall {
+
+// The newest value of an immutable object, written by one thread and read by
+// others.
+template <typename T>
+class Published {
+ public:
+  explicit Published(std::shared_ptr<const T> value)
+      : m_value(std::move(value)) {}
+
+  std::shared_ptr<const T> Load() const {
+    return m_value.load(std::memory_order_acquire);
+  }
+  void Store(std::shared_ptr<const T> value) {
+    m_value.store(std::move(value), std::memory_order_release);
+  }
+
+ private:
+  std::atomic<std::shared_ptr<const T>> m_value;
+};
+
+}  // namespace snipehall
--- /dev/null
+++ b/tests/standins/log_service.cc
@@ -0,0 +1,3 @@
+int main() {
+  return 0;
+}
