--- a/src/coordination/controller.h
+++ b/src/coordination/controller.h
@@ -30,12 +30,22 @@
   int drift_per_mille = 10;
 };
 
+// Steps of the protocol that a test leaves out to show that they are needed.
+struct OmittedSteps {
+  // Extends leases without confirmation.
+  bool confirmation = false;
+  // Grants a moved range as soon as the move is read.
+  bool settlement = false;
+};
+
 struct ControllerOptions {
   InstanceId self;
   ZoneName zone;
   Incarnation incarnation = 0;
   // Wall-clock time is used in records for display only.
   ControllerTiming timing;
+  // For tests only; nothing is left out otherwise.
+  OmittedSteps omitted;
 };
 
 // Takes events and the current time, and returns actions: folds the log,
@@ -80,7 +90,11 @@
   std::vector<Action> Tick(MonotonicTime now);
 
   const ClusterState& state() const;
-  // The folded state is confirmed until this time; the epoch when it never was.
+  // Offset from which the next read of the log starts.
+  LogOffset next_read() const;
+  // Until this time a request may be sent to a target that does not check
+  // orders; the epoch when the state was never confirmed. Covers every group
+  // that owns ranges of such a service.
   MonotonicTime confirmed_until() const;
   std::shared_ptr<const RoutingTable> routing_table() const;
   // Records from `from` on that are still in memory, for a peer. Starts with a
