--- /dev/null
+++ b/src/coordination/admission.cc
@@ -0,0 +1,231 @@
+#include "coordination/admission.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace snipehall {
+
+namespace {
+
+// Weight of a new measurement in the moving averages.
+constexpr double kAverageWeight = 0.05;
+
+// The expected end of a request is its wait plus the mean time at the target
+// plus this many deviations. With two, few admitted requests miss their
+// deadline after they have cost a slot.
+constexpr double kDeviations = 2;
+
+// A tenant may hold this multiple of its weighted share of a class's queue.
+// Above one, so that a queue with few active tenants is still used well.
+constexpr double kQueueShareFactor = 2;
+
+// Tenant names come from callers; beyond this number those without waiting
+// requests are forgotten, and then new names share the last queue.
+constexpr std::size_t kMaxTenantQueues = 256;
+
+double Seconds(MonotonicTime::duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace
+
+Result<Admission> Admission::Create(const ServiceConfig& service,
+                                    std::span<const TenantConfig> tenants) {
+  if (service.classes.empty()) {
+    return Fail(ErrorCode::kInvalidArgument,
+                "service '" + service.name + "' has no class");
+  }
+  return Admission(service, tenants);
+}
+
+Admission::Admission(const ServiceConfig& service,
+                     std::span<const TenantConfig> tenants)
+    : m_tenants(tenants.begin(), tenants.end()) {
+  for (const ClassConfig& config : service.classes) {
+    ClassState entry;
+    entry.reserved_percent = config.reserved_slots_percent;
+    entry.queue_limit = config.queue_limit;
+    m_classes.push_back(std::move(entry));
+  }
+}
+
+void Admission::SetLimit(int limit) {
+  m_limit = std::max(1, limit);
+}
+
+AdmissionOutcome Admission::Offer(MonotonicTime now,
+                                  Ticket ticket,
+                                  std::size_t class_index,
+                                  std::string_view tenant,
+                                  MonotonicTime deadline) {
+  ClassState& entry = m_classes[class_index];
+  if (now >= deadline) {
+    return AdmissionOutcome::kTooLate;
+  }
+  if (entry.waiting == 0 && HasSlot(entry)) {
+    ++entry.running;
+    ++m_running;
+    return AdmissionOutcome::kStart;
+  }
+  if (entry.waiting >= entry.queue_limit) {
+    return AdmissionOutcome::kQueueFull;
+  }
+  const double answer_s = entry.mean_s + kDeviations * entry.deviation_s;
+  if (ExpectedWaitSeconds(entry) + answer_s > Seconds(deadline - now)) {
+    return AdmissionOutcome::kTooLate;
+  }
+  TenantQueue& queue = QueueOf(entry, tenant);
+  int weights = 0;
+  for (const TenantQueue& other : entry.queues) {
+    weights += other.requests.empty() && &other != &queue ? 0 : other.weight;
+  }
+  const double share = static_cast<double>(entry.queue_limit) * queue.weight /
+                       std::max(1, weights);
+  if (static_cast<double>(queue.requests.size()) >=
+      std::max(1.0, kQueueShareFactor * share)) {
+    return AdmissionOutcome::kOverShare;
+  }
+  queue.requests.push_back({ticket, deadline});
+  ++entry.waiting;
+  return AdmissionOutcome::kWait;
+}
+
+void Admission::Finish(std::size_t class_index,
+                       MonotonicTime::duration service_time) {
+  ClassState& entry = m_classes[class_index];
+  entry.running = std::max(0, entry.running - 1);
+  m_running = std::max(0, m_running - 1);
+  const double seconds = Seconds(service_time);
+  if (entry.mean_s == 0) {
+    entry.mean_s = seconds;
+    return;
+  }
+  const double difference = seconds - entry.mean_s;
+  entry.mean_s += kAverageWeight * difference;
+  entry.deviation_s +=
+      kAverageWeight * (std::abs(difference) - entry.deviation_s);
+}
+
+std::optional<Ticket> Admission::Next(MonotonicTime now,
+                                      std::vector<Ticket>& expired) {
+  for (std::size_t i = 0; i < m_classes.size(); ++i) {
+    const std::size_t index = (m_class_turn + i) % m_classes.size();
+    ClassState& entry = m_classes[index];
+    if (!HasSlot(entry)) {
+      continue;
+    }
+    if (const auto ticket = NextOfClass(now, entry, expired)) {
+      m_class_turn = (index + 1) % m_classes.size();
+      ++entry.running;
+      ++m_running;
+      return ticket;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<Ticket> Admission::NextOfClass(MonotonicTime now,
+                                             ClassState& entry,
+                                             std::vector<Ticket>& expired) {
+  while (entry.waiting > 0) {
+    TenantQueue& queue = entry.queues[entry.turn % entry.queues.size()];
+    if (queue.requests.empty() || queue.credit == 0) {
+      ++entry.turn;
+      TenantQueue& next = entry.queues[entry.turn % entry.queues.size()];
+      next.credit = next.weight;
+      continue;
+    }
+    const Waiting request = queue.requests.front();
+    queue.requests.pop_front();
+    --entry.waiting;
+    if (request.deadline <= now) {
+      expired.push_back(request.ticket);
+      continue;
+    }
+    --queue.credit;
+    return request.ticket;
+  }
+  return std::nullopt;
+}
+
+bool Admission::Remove(Ticket ticket) {
+  for (ClassState& entry : m_classes) {
+    for (TenantQueue& queue : entry.queues) {
+      const auto found = std::find_if(
+          queue.requests.begin(), queue.requests.end(),
+          [ticket](const Waiting& item) { return item.ticket == ticket; });
+      if (found != queue.requests.end()) {
+        queue.requests.erase(found);
+        --entry.waiting;
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+Milliseconds Admission::RetryAfter(std::size_t class_index) const {
+  const double wait_s = ExpectedWaitSeconds(m_classes[class_index]);
+  return Milliseconds(std::max<std::int64_t>(1, std::llround(wait_s * 1000)));
+}
+
+int Admission::Reserved(const ClassState& entry) const {
+  return m_limit * entry.reserved_percent / 100;
+}
+
+int Admission::ClassLimit(const ClassState& entry) const {
+  int reserved_by_others = 0;
+  for (const ClassState& other : m_classes) {
+    reserved_by_others += &other == &entry ? 0 : Reserved(other);
+  }
+  return std::max(1, m_limit - reserved_by_others);
+}
+
+bool Admission::HasSlot(const ClassState& entry) const {
+  // Slots reserved for other classes and not in use by them stay free.
+  int held_for_others = 0;
+  for (const ClassState& other : m_classes) {
+    if (&other != &entry) {
+      held_for_others += std::max(0, Reserved(other) - other.running);
+    }
+  }
+  if (m_running + held_for_others < m_limit) {
+    return true;
+  }
+  // With few slots the reservations may leave a class without any; one request
+  // at a time keeps it from starving while slots are free.
+  return entry.running == 0 && m_running < m_limit;
+}
+
+double Admission::ExpectedWaitSeconds(const ClassState& entry) const {
+  return entry.mean_s * (entry.waiting + 1) / ClassLimit(entry);
+}
+
+Admission::TenantQueue& Admission::QueueOf(ClassState& entry,
+                                           std::string_view tenant) {
+  const auto found = std::find_if(
+      entry.queues.begin(), entry.queues.end(),
+      [tenant](const TenantQueue& queue) { return queue.name == tenant; });
+  if (found != entry.queues.end()) {
+    return *found;
+  }
+  if (entry.queues.size() >= kMaxTenantQueues) {
+    std::erase_if(entry.queues, [](const TenantQueue& queue) {
+      return queue.requests.empty();
+    });
+  }
+  if (entry.queues.size() >= kMaxTenantQueues) {
+    return entry.queues.back();
+  }
+  TenantQueue queue;
+  queue.name = tenant;
+  const auto config = std::find_if(
+      m_tenants.begin(), m_tenants.end(),
+      [tenant](const TenantConfig& item) { return item.name == tenant; });
+  queue.weight = config == m_tenants.end() ? 1 : std::max(1, config->weight);
+  queue.credit = queue.weight;
+  entry.queues.push_back(std::move(queue));
+  return entry.queues.back();
+}
+
+}  // namespace snipehall
--- /dev/null
+++ b/src/coordination/target_chooser.cc
@@ -0,0 +1,211 @@
+#include "coordination/target_chooser.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace snipehall {
+
+namespace {
+
+// A target in slow start gets at least this share at once; with nothing it
+// would never warm up.
+constexpr double kMinRamp = 0.1;
+
+// Scores closer than this count as equal and are decided at random, so that
+// instances with the same reports do not all choose the same target.
+constexpr double kScoreTolerance = 0.05;
+
+double Ratio(MonotonicTime::duration part, Milliseconds whole) {
+  if (whole.count() <= 0) {
+    return 1;
+  }
+  return std::chrono::duration<double>(part) /
+         std::chrono::duration<double>(whole);
+}
+
+}  // namespace
+
+Result<TargetChooser> TargetChooser::Create(TargetChooserOptions options) {
+  if (options.slots_per_endpoint < 1) {
+    return Fail(ErrorCode::kInvalidArgument,
+                "slots_per_endpoint must be at least 1");
+  }
+  return TargetChooser(std::move(options));
+}
+
+TargetChooser::TargetChooser(TargetChooserOptions options)
+    : m_options(std::move(options)), m_random(m_options.seed) {}
+
+void TargetChooser::SetTargets(MonotonicTime now,
+                               std::span<const RouteTarget> targets) {
+  // With no earlier targets the whole service is new to this instance; ramping
+  // every target alike would only refuse work.
+  const bool first = m_entries.empty();
+  std::vector<Entry> entries;
+  entries.reserve(targets.size());
+  for (const RouteTarget& target : targets) {
+    Entry entry;
+    if (const Entry* known = Find(target.id)) {
+      entry = *known;
+    } else {
+      entry.id = target.id;
+      entry.slots = m_options.slots_per_endpoint;
+      entry.active_at = now;
+      entry.slow_start_until = first ? now : now + m_options.slow_start;
+    }
+    entry.local = target.zone == m_options.own_zone;
+    entry.leaving = target.leaving;
+    entries.push_back(std::move(entry));
+  }
+  m_entries = std::move(entries);
+}
+
+std::optional<std::size_t> TargetChooser::Choose(MonotonicTime now,
+                                                 std::string_view excluded) {
+  double best_score = std::numeric_limits<double>::infinity();
+  bool best_local = false;
+  std::size_t best = 0;
+  std::size_t ties = 0;
+  for (std::size_t i = 0; i < m_entries.size(); ++i) {
+    const Entry& entry = m_entries[i];
+    if (entry.leaving || entry.id == excluded || IsFrozen(now, i)) {
+      continue;
+    }
+    const double score = Load(now, i);
+    // Own-zone targets with a free slot come before all others.
+    const bool local = entry.local && score < 1;
+    const bool better =
+        local != best_local ? local : score < best_score - kScoreTolerance;
+    if (better || ties == 0) {
+      best_score = score;
+      best_local = local;
+      best = i;
+      ties = 1;
+      continue;
+    }
+    if (local != best_local || score > best_score + kScoreTolerance) {
+      continue;
+    }
+    ++ties;
+    if (m_random() % ties == 0) {
+      best = i;
+    }
+  }
+  if (ties == 0) {
+    return std::nullopt;
+  }
+  return best;
+}
+
+void TargetChooser::OnSent(MonotonicTime now, std::string_view target) {
+  Entry* entry = Find(target);
+  if (entry == nullptr) {
+    return;
+  }
+  if (entry->outstanding == 0) {
+    entry->active_at = now;
+  }
+  ++entry->outstanding;
+}
+
+void TargetChooser::OnProgress(MonotonicTime now, std::string_view target) {
+  Entry* entry = Find(target);
+  if (entry != nullptr) {
+    entry->active_at = now;
+    entry->needs_probe = false;
+  }
+}
+
+void TargetChooser::OnAnswered(MonotonicTime now,
+                               std::string_view target,
+                               std::optional<ReportedLoad> report) {
+  Entry* entry = Find(target);
+  if (entry == nullptr) {
+    return;
+  }
+  OnProgress(now, target);
+  if (report) {
+    // The report counts this instance's own work as well, the request that was
+    // just answered perhaps included.
+    entry->others = std::max(0, report->outstanding - entry->outstanding);
+    entry->slots = std::max(1, report->slots);
+    entry->reported_at = now;
+  }
+  OnAbandoned(target);
+}
+
+void TargetChooser::OnFailed(MonotonicTime now, std::string_view target) {
+  Entry* entry = Find(target);
+  if (entry == nullptr) {
+    return;
+  }
+  entry->failures = Failures(now, *entry) + 1;
+  entry->failures_at = now;
+  OnAbandoned(target);
+}
+
+void TargetChooser::OnAbandoned(std::string_view target) {
+  Entry* entry = Find(target);
+  if (entry != nullptr && entry->outstanding > 0) {
+    --entry->outstanding;
+  }
+}
+
+void TargetChooser::OnProbeAnswered(MonotonicTime now,
+                                    std::string_view target) {
+  OnProgress(now, target);
+}
+
+std::vector<std::size_t> TargetChooser::TakeDueProbes(MonotonicTime now) {
+  std::vector<std::size_t> due;
+  for (std::size_t i = 0; i < m_entries.size(); ++i) {
+    Entry& entry = m_entries[i];
+    if (!IsFrozen(now, i)) {
+      continue;
+    }
+    // Requests that a frozen target held may all be abandoned by now; it stays
+    // out of choice until it has answered a probe.
+    entry.needs_probe = true;
+    if (entry.probe_at <= now) {
+      entry.probe_at = now + m_options.probe_interval;
+      due.push_back(i);
+    }
+  }
+  return due;
+}
+
+bool TargetChooser::IsFrozen(MonotonicTime now, std::size_t index) const {
+  const Entry& entry = m_entries[index];
+  return entry.needs_probe || (entry.outstanding > 0 &&
+                               now - entry.active_at >= m_options.stall_limit);
+}
+
+double TargetChooser::Load(MonotonicTime now, std::size_t index) const {
+  const Entry& entry = m_entries[index];
+  const double age = Ratio(now - entry.reported_at, m_options.report_lifetime);
+  const double others = entry.others * std::clamp(1 - age, 0.0, 1.0);
+  const double work = entry.outstanding + others + Failures(now, entry);
+  return work / (entry.slots * Ramp(now, entry));
+}
+
+TargetChooser::Entry* TargetChooser::Find(std::string_view target) {
+  const auto found =
+      std::find_if(m_entries.begin(), m_entries.end(),
+                   [target](const Entry& entry) { return entry.id == target; });
+  return found == m_entries.end() ? nullptr : &*found;
+}
+
+double TargetChooser::Failures(MonotonicTime now, const Entry& entry) const {
+  const double age = Ratio(now - entry.failures_at, m_options.failure_penalty);
+  return entry.failures * std::clamp(1 - age, 0.0, 1.0);
+}
+
+double TargetChooser::Ramp(MonotonicTime now, const Entry& entry) const {
+  if (now >= entry.slow_start_until) {
+    return 1;
+  }
+  const double left = Ratio(entry.slow_start_until - now, m_options.slow_start);
+  return std::max(kMinRamp, 1 - left);
+}
+
+}  // namespace snipehall
