--- a/src/coordination/concurrency_limit.cc
+++ b/src/coordination/concurrency_limit.cc
@@ -13,8 +13,9 @@
 void ConcurrencyLimit::Resize(int total_slots, int instances) {
   m_total = std::max(1, total_slots);
   // Rounded up: shares that add up to less than all slots would waste some.
-  m_share = (std::max(1, total_slots) + std::max(1, instances) - 1) /
-            std::max(1, instances);
+  const int count = std::max(1, instances);
+  const int share = (std::max(1, total_slots) + count - 1) / count;
+  m_share = share;
   m_limit = std::clamp(m_limit, m_share, m_total);
 }
 
--- a/tests/unit/crest_policy_test.cc
+++ b/tests/unit/crest_policy_test.cc
@@ -24,6 +24,7 @@
 
 std::vector<RouteTarget> Targets(int count, const std::string& zone) {
   std::vector<RouteTarget> targets;
+  targets.reserve(count);
   for (int i = 0; i < count; ++i) {
     targets.push_back({"t" + std::to_string(i), zone, "127.0.0.1:1", false});
   }
