--- /dev/null
+++ b/src/protocol/json_fields.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <boost/json/array.hpp>
+#include <boost/json/value.hpp>
+#include <cstdint>
+#include <initializer_list>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "state/result.h"
+
+namespace snipehall {
+
+// Parses JSON text. Fails with kCorrupt and the position of the fault.
+Result<boost::json::value> ParseJson(std::string_view text);
+
+// Reads the members of one JSON object. The first member that is missing or
+// has a wrong type or value sets `*error` (code kCorrupt, with pointer, value
+// and what is allowed); a faulty member reads as zero or empty.
+class JsonFields {
+ public:
+  // `pointer` is the JSON pointer of `value`. `error` outlives the reader and
+  // may be shared by the readers of one document.
+  JsonFields(const boost::json::value& value,
+             std::string pointer,
+             std::optional<Error>* error);
+
+  bool Has(std::string_view name) const;
+
+  std::uint64_t Unsigned(std::string_view name);
+  std::int64_t Signed(std::string_view name, std::int64_t min);
+  // An integer from 0 to INT_MAX.
+  int Count(std::string_view name);
+  // A finite number.
+  double Number(std::string_view name);
+  std::string String(std::string_view name);
+  std::string NonEmptyString(std::string_view name);
+  // A string of sixteen hexadecimal digits.
+  std::uint64_t Hex(std::string_view name);
+  const boost::json::array& Array(std::string_view name);
+
+  // Sets the error for a member whose name is not in `names`.
+  void RefuseOthers(std::initializer_list<std::string_view> names);
+
+  // Sets the error, unless one is set, for the member `name`.
+  void Refuse(std::string_view name, std::string_view allowed);
+
+  // The JSON pointer of the member `name`.
+  std::string PointerTo(std::string_view name) const;
+
+ private:
+  // The member, or null after setting the error.
+  const boost::json::value* Find(std::string_view name);
+
+  const boost::json::object* m_object;
+  std::string m_pointer;
+  std::optional<Error>* m_error;
+};
+
+}  // namespace snipehall
