Add HTTP clients of the log, the instance list and targets

Cause: the control thread needs the platform's and the targets' control interfaces. Change: concepts LogClient, InstanceListClient and TargetClient, each with an HTTP binding on a kept connection. Every call has a deadline; a refused connection is told apart from a time-out; a kept connection that the other side closed is found before it is used. Ruled out: name resolution, since it would block the event loop.

--- /dev/null
+++ b/src/transport/http_connection.cc
@@ -0,0 +1,167 @@
+#include "transport/http_connection.h"
+
+#include <sys/socket.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <cerrno>
+#include <utility>
+
+#include "transport/tcp_endpoint.h"
+
+namespace snipehall {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+
+// Errors after which nothing has been sent.
+bool IsConnectRefusal(const beast::error_code& error) {
+  return error == asio::error::connection_refused ||
+         error == asio::error::host_unreachable ||
+         error == asio::error::network_unreachable;
+}
+
+auto Failure(const std::string& address, const beast::error_code& error) {
+  ErrorCode code = ErrorCode::kUnavailable;
+  if (error == beast::error::timeout) {
+    code = ErrorCode::kTimeout;
+  } else if (IsConnectRefusal(error)) {
+    code = ErrorCode::kRefused;
+  }
+  return Fail(code, address + ": " + error.message());
+}
+
+// Whether the other side has closed the kept connection, or has sent something
+// that nobody asked for.
+bool IsStale(beast::tcp_stream& stream) {
+  char byte = 0;
+  const ssize_t size = ::recv(stream.socket().native_handle(), &byte, 1,
+                              MSG_PEEK | MSG_DONTWAIT);
+  return size >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+http::request<http::string_body> MakeRequest(const HttpCall& call,
+                                             const std::string& address) {
+  http::request<http::string_body> request(call.verb, call.path, 11);
+  request.set(http::field::host, address);
+  if (call.verb == http::verb::post) {
+    request.set(http::field::content_type, "application/json");
+    request.body() = call.body;
+    request.prepare_payload();
+  }
+  return request;
+}
+
+}  // namespace
+
+HttpConnection::HttpConnection(asio::any_io_executor executor,
+                               std::string address,
+                               std::size_t body_limit,
+                               ByteCount* bytes)
+    : m_executor(std::move(executor)),
+      m_address(std::move(address)),
+      m_body_limit(body_limit),
+      m_bytes(bytes) {}
+
+void HttpConnection::Close() {
+  if (m_stream) {
+    m_stream->close();
+    m_stream.reset();
+  }
+}
+
+asio::awaitable<Result<HttpReply>> HttpConnection::Exchange(
+    HttpCall call,
+    MonotonicTime deadline) {
+  if (m_stream && IsStale(*m_stream)) {
+    Close();
+  }
+  const bool reused = m_stream != nullptr;
+  Result<HttpReply> reply = co_await ExchangeOnce(call, deadline);
+  const bool broken =
+      reply.has_error() && reply.error().code == ErrorCode::kUnavailable;
+  if (broken && reused && call.repeatable) {
+    co_return co_await ExchangeOnce(call, deadline);
+  }
+  co_return reply;
+}
+
+asio::awaitable<Result<std::shared_ptr<HttpConnection::Stream>>>
+HttpConnection::Connect(MonotonicTime deadline) {
+  const Result<asio::ip::tcp::endpoint> endpoint = ParseTcpEndpoint(m_address);
+  if (endpoint.has_error()) {
+    co_return endpoint.error();
+  }
+  auto stream = std::make_shared<Stream>(m_executor);
+  m_stream = stream;
+  m_buffer.clear();
+  stream->expires_at(deadline);
+  const auto [error] = co_await stream->async_connect(endpoint.value(), kAwait);
+  if (error) {
+    co_return Failure(m_address, error);
+  }
+  beast::error_code ignored;
+  stream->socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+  co_return stream;
+}
+
+asio::awaitable<Result<HttpReply>> HttpConnection::ExchangeOnce(
+    const HttpCall& call,
+    MonotonicTime deadline) {
+  std::shared_ptr<Stream> stream = m_stream;
+  if (!stream) {
+    Result<std::shared_ptr<Stream>> connected = co_await Connect(deadline);
+    if (connected.has_error()) {
+      m_stream.reset();
+      co_return connected.error();
+    }
+    stream = std::move(connected).value();
+  }
+  const http::request<http::string_body> request = MakeRequest(call, m_address);
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(m_body_limit);
+  HttpReply reply;
+  stream->expires_at(deadline);
+  reply.sent = std::chrono::steady_clock::now();
+  const auto [write_error, written] =
+      co_await http::async_write(*stream, request, kAwait);
+  beast::error_code error = write_error;
+  std::size_t received = 0;
+  if (!error) {
+    const auto [read_error, size] =
+        co_await http::async_read(*stream, m_buffer, parser, kAwait);
+    error = read_error;
+    received = size;
+  }
+  if (m_bytes != nullptr) {
+    m_bytes->sent += written;
+    m_bytes->received += received;
+  }
+  if (error) {
+    stream->close();
+    if (m_stream == stream) {
+      m_stream.reset();
+    }
+    co_return Failure(m_address, error);
+  }
+  stream->expires_never();
+  reply.status = parser.get().result_int();
+  reply.body = std::move(parser.get().body());
+  if (!parser.get().keep_alive() && m_stream == stream) {
+    Close();
+  }
+  co_return reply;
+}
+
+}  // namespace snipehall
--- /dev/null
+++ b/src/transport/http_instance_list_client.cc
@@ -0,0 +1,39 @@
+#include "transport/http_instance_list_client.h"
+
+#include <utility>
+
+#include "protocol/platform_protocol.h"
+
+namespace snipehall {
+namespace {
+
+// Room for 1,500 nodes of about 200 bytes each, with a wide margin.
+constexpr std::size_t kBodyLimit = std::size_t{4} << 20;
+
+}  // namespace
+
+HttpInstanceListClient::HttpInstanceListClient(
+    boost::asio::any_io_executor executor,
+    std::string address,
+    ByteCount* bytes)
+    : m_connection(std::move(executor), std::move(address), kBodyLimit, bytes) {
+}
+
+boost::asio::awaitable<Result<std::vector<PlatformInstance>>>
+HttpInstanceListClient::Fetch(MonotonicTime deadline) {
+  HttpCall call;
+  call.path = "/v1/instances";
+  const Result<HttpReply> reply =
+      co_await m_connection.Exchange(std::move(call), deadline);
+  if (reply.has_error()) {
+    co_return reply.error();
+  }
+  if (reply.value().status != 200) {
+    co_return Fail(ErrorCode::kUnavailable,
+                   "the instance list answered with status " +
+                       std::to_string(reply.value().status));
+  }
+  co_return DecodeInstanceList(reply.value().body);
+}
+
+}  // namespace snipehall
--- /dev/null
+++ b/src/transport/http_log_client.cc
@@ -0,0 +1,118 @@
+#include "transport/http_log_client.h"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/value.hpp>
+#include <utility>
+
+#include "protocol/platform_protocol.h"
+
+namespace snipehall {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+// A read returns at most kMaxRecords of the caller's choice; a snapshot can be
+// several megabytes.
+constexpr std::size_t kReadBodyLimit = std::size_t{64} << 20;
+constexpr std::size_t kAppendBodyLimit = std::size_t{64} << 10;
+
+auto UnexpectedStatus(const HttpReply& reply) {
+  const bool permanent = reply.status >= 400 && reply.status < 500 &&
+                         reply.status != 408 && reply.status != 429;
+  return Fail(
+      permanent ? ErrorCode::kInvalidArgument : ErrorCode::kUnavailable,
+      "the log service answered with status " + std::to_string(reply.status));
+}
+
+Result<LogOffset> DecodeAppendAnswer(std::string_view body) {
+  boost::system::error_code error;
+  const boost::json::value json = boost::json::parse(body, error);
+  if (error || !json.is_object()) {
+    return Fail(ErrorCode::kCorrupt, "the answer to an append is not JSON");
+  }
+  const boost::json::value* offset = json.get_object().if_contains("offset");
+  if (offset == nullptr) {
+    return Fail(ErrorCode::kCorrupt, "the answer to an append has no offset");
+  }
+  const LogOffset value = offset->to_number<LogOffset>(error);
+  if (error || value == 0) {
+    return Fail(ErrorCode::kCorrupt, "the offset of an append is malformed");
+  }
+  return value;
+}
+
+}  // namespace
+
+HttpLogClient::HttpLogClient(asio::any_io_executor executor,
+                             std::string address,
+                             ByteCount* bytes)
+    : m_executor(std::move(executor)),
+      m_address(std::move(address)),
+      m_bytes(bytes),
+      m_read_connection(m_executor, m_address, kReadBodyLimit, m_bytes) {}
+
+void HttpLogClient::Close() {
+  m_read_connection.Close();
+  for (const auto& connection : m_append_connections) {
+    connection->Close();
+  }
+}
+
+asio::awaitable<Result<TimedLogRead>> HttpLogClient::Read(
+    LogOffset from,
+    std::size_t max,
+    Milliseconds wait,
+    MonotonicTime deadline) {
+  HttpCall call;
+  call.path = "/v1/records?from=" + std::to_string(from) +
+              "&max=" + std::to_string(max) +
+              "&wait_ms=" + std::to_string(wait.count());
+  Result<HttpReply> reply =
+      co_await m_read_connection.Exchange(std::move(call), deadline);
+  if (reply.has_error()) {
+    co_return reply.error();
+  }
+  // 410 says that `from` is no longer retained, in a body without records.
+  if (reply.value().status != 200 && reply.value().status != 410) {
+    co_return UnexpectedStatus(reply.value());
+  }
+  Result<LogRead> read = ParseLogRead(reply.value().body);
+  if (read.has_error()) {
+    co_return read.error();
+  }
+  co_return TimedLogRead{reply.value().sent, std::move(read).value()};
+}
+
+asio::awaitable<Result<LogOffset>> HttpLogClient::Append(
+    std::string data,
+    MonotonicTime deadline) {
+  const std::shared_ptr<HttpConnection> connection = AcquireAppendConnection();
+  HttpCall call;
+  call.verb = http::verb::post;
+  call.path = "/v1/records";
+  call.body = std::move(data);
+  call.repeatable = false;
+  const Result<HttpReply> reply =
+      co_await connection->Exchange(std::move(call), deadline);
+  if (reply.has_error()) {
+    co_return reply.error();
+  }
+  if (reply.value().status / 100 != 2) {
+    co_return UnexpectedStatus(reply.value());
+  }
+  co_return DecodeAppendAnswer(reply.value().body);
+}
+
+std::shared_ptr<HttpConnection> HttpLogClient::AcquireAppendConnection() {
+  for (const auto& connection : m_append_connections) {
+    if (connection.use_count() == 1) {
+      return connection;
+    }
+  }
+  m_append_connections.push_back(std::make_shared<HttpConnection>(
+      m_executor, m_address, kAppendBodyLimit, m_bytes));
+  return m_append_connections.back();
+}
+
+}  // namespace snipehall
--- /dev/null
+++ b/src/transport/http_target_client.cc
@@ -0,0 +1,58 @@
+#include "transport/http_target_client.h"
+
+#include <utility>
+
+#include "protocol/target_protocol.h"
+
+namespace snipehall {
+namespace {
+
+constexpr std::size_t kBodyLimit = std::size_t{64} << 10;
+
+}  // namespace
+
+HttpTargetClient::HttpTargetClient(boost::asio::any_io_executor executor,
+                                   std::string address,
+                                   ByteCount* bytes)
+    : m_connection(std::move(executor), std::move(address), kBodyLimit, bytes) {
+}
+
+boost::asio::awaitable<Result<TimedLeaseAnswer>> HttpTargetClient::SendOrder(
+    const LeaseOrder& order,
+    MonotonicTime deadline) {
+  HttpCall call;
+  call.verb = boost::beast::http::verb::post;
+  call.path = "/control/lease";
+  call.body = EncodeLeaseOrder(order);
+  return Exchange(std::move(call), deadline);
+}
+
+boost::asio::awaitable<Result<TimedLeaseAnswer>> HttpTargetClient::QueryStatus(
+    MonotonicTime deadline) {
+  HttpCall call;
+  call.path = "/control/status";
+  return Exchange(std::move(call), deadline);
+}
+
+boost::asio::awaitable<Result<TimedLeaseAnswer>> HttpTargetClient::Exchange(
+    HttpCall call,
+    MonotonicTime deadline) {
+  const Result<HttpReply> reply =
+      co_await m_connection.Exchange(std::move(call), deadline);
+  if (reply.has_error()) {
+    co_return reply.error();
+  }
+  const unsigned status = reply.value().status;
+  if (status != 200 && status != 409) {
+    co_return Fail(ErrorCode::kUnavailable,
+                   "the target answered with status " + std::to_string(status));
+  }
+  Result<LeaseAnswer> answer = DecodeLeaseAnswer(reply.value().body);
+  if (answer.has_error()) {
+    co_return answer.error();
+  }
+  answer.value().accepted = status == 200;
+  co_return TimedLeaseAnswer{reply.value().sent, std::move(answer).value()};
+}
+
+}  // namespace snipehall
