--- a/src/coordination/assignment_planner.cc
+++ b/src/coordination/assignment_planner.cc
@@ -7,6 +7,10 @@
 
 namespace {
 
+// Silence after which the members of another zone's group are taken for cut
+// off. Heartbeats between zones are sent every second.
+constexpr Milliseconds kFarSilence{2500};
+
 bool PlansFor(const AssignmentView& view, std::string_view zone) {
   const GroupMembers* group = view.state.FindGroup(zone);
   return group != nullptr &&
@@ -49,7 +53,7 @@
     }
     const GroupMembers* group = view.state.FindGroup(owned.group);
     if (group != nullptr &&
-        view.duties.AreAllSilent(view.peers, *group, view.now, view.silence)) {
+        view.duties.AreAllSilent(view.peers, *group, view.now, kFarSilence)) {
       targets.push_back({owned.owner, owned.group, TargetCondition::kUnknown});
     }
   }
@@ -65,13 +69,16 @@
       });
 }
 
+// The record is proposed before `move_after` has passed, since the settlement
+// waits for that time again from when the record is read.
 bool IsZoneLost(const AssignmentView& view,
                 const ServiceConfig& service,
                 std::string_view zone) {
   const GroupMembers* group = view.state.FindGroup(zone);
   return group != nullptr &&
-         view.duties.AreAllSilent(view.peers, *group, view.now,
-                                  *service.move_after);
+         view.duties.AreAllSilent(
+             view.peers, *group, view.now,
+             std::max(*service.move_after / 2, kFarSilence));
 }
 
 // The zone that stands in for `lost`: the first one in the configuration that
--- a/src/coordination/range_planner.cc
+++ b/src/coordination/range_planner.cc
@@ -157,7 +157,7 @@
   void PlaceFree() {
     for (const HashRange& range : m_free) {
       const Size slice = std::max<Size>(
-          SizeOf(range) / (m_owned.size() * kRangesPerTarget), 1);
+          SizeOf(range) / (Size{m_owned.size()} * kRangesPerTarget), 1);
       std::uint64_t first = range.first;
       while (true) {
         const Size left = Size{range.last} - first + 1;
