Send range sets again and query after an overdue answer

Cause: an order that arrived late replaced a set with a smaller list of the same offset, and the extender never noticed, so keys stayed without a lease. Change: a set is sent again every second; an answer that is overdue by 80 ms is followed by a query; the planner makes no negligible ranges. Ruled out: an ordering rule at the targets, which are the platform's.

--- a/src/coordination/lease_ledger.cc
+++ b/src/coordination/lease_ledger.cc
@@ -13,6 +13,12 @@
 constexpr int kFailuresForSilence = 2;
 // Pause before an attempt that follows a failure.
 constexpr Milliseconds kRetryPause{40};
+// Time without an answer after which a query follows, so that one delayed
+// message does not make a target look silent.
+constexpr Milliseconds kAnswerPatience{80};
+// Interval at which a set is sent again. A delayed order of the same set may
+// have replaced it with an earlier, smaller list of ranges.
+constexpr Milliseconds kSetInterval{1000};
 
 }  // namespace
 
@@ -50,6 +56,7 @@
     lease.given.reset();
     if (answer.accepted && answer.set == ordered->set) {
       lease.given = std::move(ordered);
+      lease.given_at = now;
     }
   }
   if (lease.given && lease.given->set != answer.set) {
@@ -93,8 +100,9 @@
     return LeaseStep::kQuery;
   }
   const auto since_attempt = now - *lease->last_attempt;
-  if (lease->awaiting_answer && since_attempt < m_timing.silence) {
-    return LeaseStep::kNothing;
+  if (lease->awaiting_answer) {
+    return since_attempt >= kAnswerPatience ? LeaseStep::kQuery
+                                            : LeaseStep::kNothing;
   }
   if (lease->failures > 0) {
     return since_attempt >= kRetryPause ? LeaseStep::kQuery
--- a/src/coordination/lease_ledger.h
+++ b/src/coordination/lease_ledger.h
@@ -46,6 +46,7 @@
   // The set that this instance gave to the target; empty when another member
   // gave it, or when it is not known whether an order arrived.
   std::optional<LeaseContent> given;
+  MonotonicTime given_at;
 
   // Own orders.
   bool awaiting_answer = false;
--- a/src/coordination/range_planner.cc
+++ b/src/coordination/range_planner.cc
@@ -129,7 +129,7 @@
       const TargetId owner = LeastLoaded();
       const Size size = SizeOf(range);
       const Size room = m_quota > m_owned[owner] ? m_quota - m_owned[owner] : 0;
-      if (room == 0 || size <= room + room / 4 || !MaySplit()) {
+      if (room <= Negligible() || size <= room + room / 4 || !MaySplit()) {
         Give(range, owner);
         return;
       }
@@ -139,6 +139,9 @@
     }
   }
 
+  // Space that is not worth a range of its own.
+  Size Negligible() const { return m_quota / 32; }
+
   bool MaySplit() const {
     return m_pieces.size() + m_orphans.size() + m_changes.size() <
            kSplitLimit * m_owned.size();
@@ -185,7 +188,7 @@
 
   void Fill(const TargetId& joiner) {
     Size need = m_quota - m_owned[joiner];
-    while (need > 0) {
+    while (need > Negligible()) {
       Piece* piece = LargestSurplusPiece(joiner, need);
       if (piece == nullptr) {
         return;
@@ -220,8 +223,7 @@
         donor = &id;
       }
     }
-    // Shares differ by rounding; such a surplus is not worth a move.
-    if (donor == nullptr || most <= m_quota / 64) {
+    if (donor == nullptr || most <= Negligible()) {
       return nullptr;
     }
     Piece* best = nullptr;
