--- a/src/coordination/lease_ledger.cc
+++ b/src/coordination/lease_ledger.cc
@@ -20,6 +20,22 @@
 // have replaced it with an earlier, smaller list of ranges.
 constexpr Milliseconds kSetInterval{1000};
 
+// Whether the range set has to be sent, and not only a later deadline.
+bool MustSet(MonotonicTime now,
+             const TargetLease& lease,
+             const LeaseContent& content) {
+  if (lease.set != content.set) {
+    return true;
+  }
+  // A set that another member gave is replaced only by the complete one, since
+  // that member may know of more settled moves.
+  if (!lease.given) {
+    return content.complete;
+  }
+  return lease.given->ranges != content.ranges ||
+         now - lease.given_at >= kSetInterval;
+}
+
 }  // namespace
 
 void LeaseLedger::OnAnswer(MonotonicTime sent,
@@ -112,12 +128,7 @@
   if (lease->incarnation == 0 || !may_extend || lease->set > content.set) {
     return interval_over ? LeaseStep::kQuery : LeaseStep::kNothing;
   }
-  // A set that another member gave is replaced only by the complete one, since
-  // that member may know of more settled moves.
-  const bool unknown_set = lease->set == content.set && !lease->given;
-  const bool must_set =
-      lease->set != content.set ||
-      (unknown_set ? content.complete : lease->given->ranges != content.ranges);
+  const bool must_set = MustSet(now, *lease, content);
   if (!must_set && !interval_over) {
     return LeaseStep::kNothing;
   }
