--- a/src/state/configuration.h
+++ b/src/state/configuration.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "state/hash_range.h"
+#include "state/result.h"
 #include "state/types.h"
 
 namespace snipehall {
@@ -93,9 +94,19 @@
   bool operator==(const Configuration&) const = default;
 };
 
+// Splits the hash space equally, one range for each zone in order.
+std::vector<KeyRangeConfig> EqualKeyRanges(std::span<const ZoneConfig> zones);
+
 // Checks the meaning of a document whose shape is already right: unknown
 // zones, key ranges that overlap or leave gaps, limits beyond an endpoint's
 // slots, duplicate names. Each error carries its JSON pointer.
 std::vector<Error> ValidateConfiguration(const Configuration& configuration);
 
+// Checks that each plan which is not already in force names a target of the
+// instance list. The list lags and differs between instances, so the fold must
+// not use this check; plans in force may name targets that have ended.
+std::vector<Error> ValidateNewPlans(const Configuration& configuration,
+                                    const Configuration* in_force,
+                                    std::span<const TargetId> known_targets);
+
 }  // namespace snipehall
