--- /dev/null
+++ b/tests/unit/log_reader_test.cc
@@ -0,0 +1,149 @@
+#include "transport/log_reader.h"
+
+#include <boost/asio/io_context.hpp>
+#include <vector>
+
+#include "transport/log_cursor.h"
+#include "transport/spawn.h"
+
+#include <criterion/criterion.h>
+
+namespace {
+
+using namespace std::chrono_literals;
+using snipehall::ErrorCode;
+using snipehall::Fail;
+using snipehall::LogCursor;
+using snipehall::LogEntry;
+using snipehall::LogOffset;
+using snipehall::LogRead;
+using snipehall::Milliseconds;
+using snipehall::MonotonicTime;
+using snipehall::ReadPace;
+using snipehall::Result;
+using snipehall::TimedLogRead;
+
+LogRead Entries(LogOffset first, LogOffset from, LogOffset end) {
+  LogRead read{first, end, {}};
+  for (LogOffset offset = from; offset < end; ++offset) {
+    read.entries.push_back(LogEntry{offset, std::nullopt});
+  }
+  return read;
+}
+
+// A reader without state must find a snapshot that stands behind records which
+// it cannot fold, and then read again what follows the snapshot's cover.
+Test(log_cursor, goes_on_to_a_snapshot_and_back_to_its_cover) {
+  LogCursor cursor;
+  cr_assert_eq(cursor.next(), 1);
+  cursor.OnRead(LogRead{500, 701, {}}, 0);
+  cr_assert_eq(cursor.next(), 500);
+  cursor.OnRead(Entries(500, 500, 600), 0);
+  cr_assert_eq(cursor.next(), 600);
+  cursor.OnRead(Entries(500, 600, 701), 650);
+  cr_assert_eq(cursor.next(), 651);
+  cursor.OnRead(Entries(500, 651, 701), 700);
+  cr_assert_eq(cursor.next(), 701);
+}
+
+// Records from a peer must not be read again from the log.
+Test(log_cursor, follows_the_state_when_a_peer_is_ahead) {
+  LogCursor cursor;
+  cursor.OnState(40);
+  cr_assert_eq(cursor.next(), 41);
+  cursor.OnRead(LogRead{1, 41, {}}, 40);
+  cr_assert_eq(cursor.next(), 41);
+}
+
+// The next answer must arrive before the confirmation by the last one ends,
+// also when the log is slow.
+Test(read_pace, answers_arrive_within_the_validity_of_a_confirmation) {
+  for (const Milliseconds latency : {0ms, 50ms, 100ms, 160ms, 240ms}) {
+    ReadPace pace{ReadPace::Limits{}};
+    MonotonicTime began{};
+    MonotonicTime last_began{};
+    for (int i = 0; i < 10; ++i) {
+      const MonotonicTime answered = began + pace.wait() + latency;
+      cr_assert(i < 2 || answered < last_began + 500ms);
+      last_began = began;
+      began = std::max(answered, pace.OnAnswer(began, answered, false));
+    }
+  }
+}
+
+// A log that answers after seconds must still be read, though it confirms
+// nothing.
+Test(read_pace, patience_grows_after_time_outs_up_to_a_bound) {
+  ReadPace pace{ReadPace::Limits{}};
+  const MonotonicTime now{};
+  for (int i = 0; i < 6; ++i) {
+    pace.OnFailure(now, true);
+  }
+  cr_assert(pace.Deadline(now) >= now + 4s);
+  cr_assert(pace.Deadline(now) <= now + 5s);
+}
+
+// A log that refuses connections must not be asked in a tight loop, and must
+// be found soon after it returned.
+Test(read_pace, pause_after_failures_is_bounded) {
+  ReadPace pace{ReadPace::Limits{}};
+  const MonotonicTime now{};
+  cr_assert_eq(pace.OnFailure(now, false), now + 20ms);
+  for (int i = 0; i < 10; ++i) {
+    pace.OnFailure(now, false);
+  }
+  cr_assert_eq(pace.OnFailure(now, false), now + 250ms);
+}
+
+class FakeLog {
+ public:
+  boost::asio::awaitable<Result<TimedLogRead>> Read(LogOffset from,
+                                                    std::size_t,
+                                                    Milliseconds,
+                                                    MonotonicTime) {
+    froms.push_back(from);
+    if (froms.size() == 1) {
+      co_return Fail(ErrorCode::kRefused, "chosen by the test");
+    }
+    co_return TimedLogRead{std::chrono::steady_clock::now(),
+                           Entries(1, from, from + 2)};
+  }
+
+  boost::asio::awaitable<Result<LogOffset>> Append(std::string, MonotonicTime) {
+    co_return Fail(ErrorCode::kUnavailable, "not written by this test");
+  }
+
+  void Close() {}
+
+  std::vector<LogOffset> froms;
+};
+
+// A failed read must not end the loop or skip records.
+Test(log_reader, goes_on_after_a_failure_at_the_same_offset) {
+  boost::asio::io_context context;
+  FakeLog log;
+  LogCursor cursor;
+  int failures = 0;
+  int reads = 0;
+  snipehall::LogReader<FakeLog>* running = nullptr;
+  snipehall::LogReader<FakeLog> reader(
+      context.get_executor(), &log, ReadPace::Limits{},
+      {.next = [&] { return cursor.next(); },
+       .on_read =
+           [&](const TimedLogRead& read) {
+             cursor.OnRead(read.read, read.read.end - 1);
+             if (++reads == 3) {
+               running->Stop();
+             }
+           },
+       .on_failure = [&](const snipehall::Error&) { ++failures; }});
+  running = &reader;
+  snipehall::Spawn(context.get_executor(), reader.Run());
+  context.run_for(5s);
+  cr_assert_eq(failures, 1);
+  cr_assert_eq(reads, 3);
+  const std::vector<LogOffset> expected = {1, 1, 3, 5};
+  cr_assert(log.froms == expected);
+}
+
+}  // namespace
