Share one JSON parser; move whole ranges off a target with a large key

Cause: two definitions of ParseJson met at link time. The rebalancer stopped at the first target that had no hot key to give, and could not relieve a target whose hottest key alone is above the mean. Change: json_text holds ParseJson and DescribeValue. The rebalancer goes on with the next target and moves up to 4 whole ranges in a plan.

--- a/src/coordination/key_rebalancer.cc
+++ b/src/coordination/key_rebalancer.cc
@@ -15,40 +15,126 @@
   return a.second < b.second;
 }
 
-// A hot key with its owner.
+// A range that may be moved, with the requests that it got: a single hot key,
+// or a whole owned range with an estimate.
 struct Candidate {
-  KeyCount key;
+  HashRange range;
+  std::uint64_t requests = 0;
   TargetId owner;
-  bool moved = false;
 };
 
-std::vector<Candidate> FindCandidates(const LoadSample& sample,
-                                      const ServiceAssignment& assignment,
-                                      std::string_view group) {
+std::vector<Candidate> HotKeys(const LoadSample& sample,
+                               const ServiceAssignment& assignment,
+                               std::string_view group) {
   std::vector<Candidate> candidates;
   for (const KeyCount& key : sample.hot_keys) {
     const OwnedRange* range = assignment.Find(key.hash);
     if (range != nullptr && range->group == group) {
-      candidates.push_back({key, range->owner});
+      candidates.push_back({{key.hash, key.hash}, key.count, range->owner});
     }
   }
   return candidates;
 }
 
-// The largest key of the fullest target whose move to the idlest one leaves
-// both below the load that the fullest has now.
-Candidate* BestMove(std::vector<Candidate>& candidates,
-                    std::string_view from,
-                    std::uint64_t from_load,
-                    std::uint64_t to_load) {
-  const auto found = std::find_if(
-      candidates.begin(), candidates.end(), [&](const Candidate& candidate) {
-        return !candidate.moved && candidate.owner == from &&
-               to_load + candidate.key.count < from_load;
-      });
-  return found == candidates.end() ? nullptr : &*found;
+// Owned ranges of `target`, each with its hot keys and its part by width of
+// the target's other requests.
+std::vector<Candidate> WholeRanges(const ServiceAssignment& assignment,
+                                   std::span<const Candidate> hot_keys,
+                                   std::string_view target,
+                                   std::uint64_t target_requests) {
+  std::vector<Candidate> candidates;
+  double width = 0;
+  for (const OwnedRange& range : assignment.ranges) {
+    if (range.owner == target && !range.range.IsSingleHash()) {
+      candidates.push_back({range.range, 0, range.owner});
+      width += static_cast<double>(range.range.last - range.range.first);
+    }
+  }
+  std::uint64_t cold = target_requests;
+  for (const Candidate& key : hot_keys) {
+    cold -= key.owner == target ? std::min(cold, key.requests) : 0;
+  }
+  for (Candidate& candidate : candidates) {
+    const auto part =
+        static_cast<double>(candidate.range.last - candidate.range.first) /
+        width;
+    candidate.requests =
+        static_cast<std::uint64_t>(part * static_cast<double>(cold));
+    for (const Candidate& key : hot_keys) {
+      if (candidate.range.Overlaps(key.range)) {
+        candidate.requests += key.requests;
+      }
+    }
+  }
+  return candidates;
 }
 
+// Moves planned so far and the loads that they lead to.
+class PlanDraft {
+ public:
+  PlanDraft(const LoadSample& sample, std::string_view group) : m_group(group) {
+    for (const TargetLoad& load : sample.targets) {
+      m_loads[load.target] = load.requests;
+      m_total += load.requests;
+    }
+  }
+
+  std::uint64_t total() const { return m_total; }
+  std::size_t targets() const { return m_loads.size(); }
+  std::uint64_t Load(std::string_view target) const {
+    return m_loads.find(target)->second;
+  }
+  std::vector<OwnerChange>& changes() { return m_changes; }
+
+  // The target with the greatest load above `threshold` that is not in
+  // `stuck`, or null.
+  const TargetId* Fullest(double threshold,
+                          const std::set<TargetId, std::less<>>& stuck) const {
+    const LoadByTarget::value_type* fullest = nullptr;
+    for (const auto& entry : m_loads) {
+      if (static_cast<double>(entry.second) > threshold &&
+          !stuck.contains(entry.first) &&
+          (fullest == nullptr || ByLoad(*fullest, entry))) {
+        fullest = &entry;
+      }
+    }
+    return fullest == nullptr ? nullptr : &fullest->first;
+  }
+
+  // Moves the first candidate owned by `from` whose move to the idlest target
+  // leaves that one below the load that `from` has now.
+  bool MoveOne(std::span<const Candidate> candidates, const TargetId& from) {
+    const auto to = std::min_element(m_loads.begin(), m_loads.end(), ByLoad);
+    for (const Candidate& candidate : candidates) {
+      if (candidate.owner != from || candidate.requests == 0 ||
+          to->second + candidate.requests >= m_loads[from] ||
+          Overlaps(candidate.range)) {
+        continue;
+      }
+      m_loads[from] -= std::min(m_loads[from], candidate.requests);
+      to->second += candidate.requests;
+      m_changes.push_back({candidate.range, to->first, m_group});
+      return true;
+    }
+    return false;
+  }
+
+ private:
+  // Whether a planned move touches the range. The ranges of one record must
+  // not overlap.
+  bool Overlaps(const HashRange& range) const {
+    return std::any_of(m_changes.begin(), m_changes.end(),
+                       [&range](const OwnerChange& change) {
+                         return change.range.Overlaps(range);
+                       });
+  }
+
+  GroupId m_group;
+  LoadByTarget m_loads;
+  std::uint64_t m_total = 0;
+  std::vector<OwnerChange> m_changes;
+};
+
 }  // namespace
 
 Result<KeyRebalancer> KeyRebalancer::Create(KeyRebalancerOptions options) {
@@ -64,43 +150,39 @@
     const LoadSample& sample,
     const ServiceAssignment& assignment,
     std::string_view group) {
-  std::vector<OwnerChange> changes;
-  LoadByTarget loads;
-  std::uint64_t total = 0;
-  for (const TargetLoad& load : sample.targets) {
-    loads[load.target] = load.requests;
-    total += load.requests;
-  }
-  if (total < m_options.min_requests || loads.size() < 2) {
-    return changes;
+  PlanDraft draft(sample, group);
+  if (draft.total() < m_options.min_requests || draft.targets() < 2) {
+    return {};
   }
-  std::vector<Candidate> candidates = FindCandidates(sample, assignment, group);
-  for (const Candidate& candidate : candidates) {
-    m_return_at[candidate.key.hash] = now + m_options.cold_after;
+  const std::vector<Candidate> hot_keys = HotKeys(sample, assignment, group);
+  for (const Candidate& key : hot_keys) {
+    m_return_at[key.range.first] = now + m_options.cold_after;
   }
   const double threshold = m_options.overload_ratio *
-                           static_cast<double>(total) /
-                           static_cast<double>(loads.size());
-  while (changes.size() < m_options.max_moves) {
-    const auto to = std::min_element(loads.begin(), loads.end(), ByLoad);
-    const auto from = std::max_element(loads.begin(), loads.end(), ByLoad);
-    if (static_cast<double>(from->second) <= threshold) {
+                           static_cast<double>(draft.total()) /
+                           static_cast<double>(draft.targets());
+  // Targets that have nothing left to give.
+  std::set<TargetId, std::less<>> stuck;
+  std::size_t range_moves = 0;
+  while (draft.changes().size() < m_options.max_moves) {
+    const TargetId* fullest = draft.Fullest(threshold, stuck);
+    if (fullest == nullptr) {
       break;
     }
-    Candidate* best =
-        BestMove(candidates, from->first, from->second, to->second);
-    if (best == nullptr) {
-      break;
+    if (draft.MoveOne(hot_keys, *fullest)) {
+      continue;
+    }
+    if (range_moves < m_options.max_range_moves &&
+        draft.MoveOne(
+            WholeRanges(assignment, hot_keys, *fullest, draft.Load(*fullest)),
+            *fullest)) {
+      ++range_moves;
+      continue;
     }
-    best->moved = true;
-    best->owner = to->first;
-    from->second -= std::min(from->second, best->key.count);
-    to->second += best->key.count;
-    changes.push_back(
-        {HashRange{best->key.hash, best->key.hash}, to->first, GroupId(group)});
+    stuck.insert(*fullest);
   }
-  PlanReturns(now, assignment, group, changes);
-  return changes;
+  PlanReturns(now, assignment, group, draft.changes());
+  return std::move(draft.changes());
 }
 
 void KeyRebalancer::PlanReturns(MonotonicTime now,
--- a/src/coordination/key_rebalancer.h
+++ b/src/coordination/key_rebalancer.h
@@ -33,6 +33,9 @@
   double overload_ratio = 1.15;
   // Most keys moved by one plan, which is one record of the log.
   std::size_t max_moves = 16;
+  // Most whole ranges among them. They carry many cold keys, so they move only
+  // off a target that has no hot key left to give.
+  std::size_t max_range_moves = 4;
   // Requests that a sample needs before it is acted on; fewer are noise.
   std::uint64_t min_requests = 1000;
   // Time after which a key that is no longer hot returns to the owner of the
@@ -41,8 +44,9 @@
 };
 
 // Plans moves of single hot keys between the targets of one lease group, for
-// one service. A key moves only where that lowers the greatest load, and only
-// that key moves.
+// one service. A hot key moves alone, and only where that lowers the load of
+// the fullest target. A target whose hottest key is too large to move gives
+// away some of its other ranges instead.
 class KeyRebalancer {
  public:
   static Result<KeyRebalancer> Create(KeyRebalancerOptions options);
--- a/src/protocol/json_fields.cc
+++ b/src/protocol/json_fields.cc
@@ -11,30 +11,7 @@
 
 namespace snipehall {
 
-namespace {
-
-// Longest excerpt of a refused value that an error quotes, in bytes.
-constexpr std::size_t kQuotedBytes = 80;
-
-std::string Quote(const boost::json::value& value) {
-  std::string text = boost::json::serialize(value);
-  if (text.size() > kQuotedBytes) {
-    text.resize(kQuotedBytes);
-    text += "...";
-  }
-  return text;
-}
-
-}  // namespace
-
-Result<boost::json::value> ParseJson(std::string_view text) {
-  boost::system::error_code failure;
-  boost::json::value value = boost::json::parse(text, failure);
-  if (failure) {
-    return Fail(ErrorCode::kCorrupt, "malformed JSON: " + failure.message());
-  }
-  return value;
-}
+namespace {}  // namespace
 
 JsonFields::JsonFields(const boost::json::value& value,
                        std::string pointer,
@@ -44,7 +21,7 @@
       m_error(error) {
   if (m_object == nullptr && !m_error->has_value()) {
     *m_error = Error{ErrorCode::kCorrupt, "expected a JSON object", m_pointer,
-                     Quote(value), "an object"};
+                     DescribeValue(value), "an object"};
   }
 }
 
@@ -175,7 +152,7 @@
   *m_error = Error{
       ErrorCode::kCorrupt,
       "unexpected value at " + pointer + ", allowed is " + std::string(allowed),
-      pointer, member == nullptr ? std::string() : Quote(*member),
+      pointer, member == nullptr ? std::string() : DescribeValue(*member),
       std::string(allowed)};
 }
 
--- a/src/protocol/json_fields.h
+++ b/src/protocol/json_fields.h
@@ -8,13 +8,11 @@
 #include <string>
 #include <string_view>
 
+#include "protocol/json_text.h"
 #include "state/result.h"
 
 namespace snipehall {
 
-// Parses JSON text. Fails with kCorrupt and the position of the fault.
-Result<boost::json::value> ParseJson(std::string_view text);
-
 // Reads the members of one JSON object. The first member that is missing or
 // has a wrong type or value sets `*error` (code kCorrupt, with pointer, value
 // and what is allowed); a faulty member reads as zero or empty.
--- a/src/protocol/json_schema.h
+++ b/src/protocol/json_schema.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "protocol/json_text.h"
 #include "state/result.h"
 
 namespace snipehall {
@@ -33,11 +34,4 @@
   std::unique_ptr<Impl> m_impl;
 };
 
-// Parses JSON text. Fails with kInvalidArgument and the position for text that
-// is not JSON.
-Result<boost::json::value> ParseJson(std::string_view text);
-
-// A value as text for an error, shortened to 80 bytes.
-std::string DescribeValue(const boost::json::value& value);
-
 }  // namespace snipehall
