--- a/src/protocol/json_fields.cc
+++ b/src/protocol/json_fields.cc
@@ -103,6 +103,18 @@
   return number;
 }
 
+bool JsonFields::Boolean(std::string_view name) {
+  const boost::json::value* member = Find(name);
+  if (member == nullptr) {
+    return false;
+  }
+  if (!member->is_bool()) {
+    Refuse(name, "true or false");
+    return false;
+  }
+  return member->get_bool();
+}
+
 std::string JsonFields::String(std::string_view name) {
   const boost::json::value* member = Find(name);
   if (member == nullptr) {
--- a/src/protocol/json_fields.h
+++ b/src/protocol/json_fields.h
@@ -34,6 +34,7 @@
   int Count(std::string_view name);
   // A finite number.
   double Number(std::string_view name);
+  bool Boolean(std::string_view name);
   std::string String(std::string_view name);
   std::string NonEmptyString(std::string_view name);
   // A string of sixteen hexadecimal digits.
