--- a/src/protocol/json_schema.cc
+++ b/src/protocol/json_schema.cc
@@ -226,7 +226,7 @@
   return m_impl->Check(document);
 }
 
-Result<json::value> ParseJson(std::string_view text) {
+Result<json::value> ParseJsonDocument(std::string_view text) {
   json::error_code error;
   json::stream_parser parser;
   std::size_t position = parser.write_some(text.data(), text.size(), error);
--- a/src/protocol/json_schema.h
+++ b/src/protocol/json_schema.h
@@ -35,7 +35,7 @@
 
 // Parses JSON text. Fails with kInvalidArgument and the position for text that
 // is not JSON.
-Result<boost::json::value> ParseJson(std::string_view text);
+Result<boost::json::value> ParseJsonDocument(std::string_view text);
 
 // A value as text for an error, shortened to 80 bytes.
 std::string DescribeValue(const boost::json::value& value);
