Add the data thread: forwarding of callers' requests to targets

Cause: the daemon had no path for requests.

Change: DataService accepts callers, parses requests with Beast's parsers on Asio coroutines, looks up the published routing table, admits each request (Admission, ConcurrencyLimit), chooses its target (owner or TargetChooser), forwards it over pooled connections and streams the answer back. Reads stay pending on idle connections, so a close by the peer is noticed without extra system calls. Bodies up to 32 KiB are read before forwarding and can be sent again; longer ones are streamed through buffers of at most 64 KiB a side.

Ruled out: a parallel group of read and deadline per operation, which costs a timer and an allocation in each step; one extensible timer per connection does the same.

--- /dev/null
+++ b/src/protocol/request_headers.cc
@@ -0,0 +1,262 @@
+#include "protocol/request_headers.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <charconv>
+
+#include "protocol/target_protocol.h"
+#include "state/hash_range.h"
+
+namespace snipehall {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr std::size_t kNameLimit = 64;
+constexpr std::size_t kKeyLimit = 512;
+constexpr std::size_t kRequestIdLimit = 128;
+constexpr std::int64_t kDeadlineLimitMs = 600000;
+constexpr std::string_view kPrefix = "Snipehall-";
+
+std::string_view View(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+bool EqualsIgnoringCase(std::string_view left, std::string_view right) {
+  return boost::beast::iequals({left.data(), left.size()},
+                               {right.data(), right.size()});
+}
+
+bool IsSnipehallHeader(const http::fields::value_type& field) {
+  return field.name() == http::field::unknown &&
+         field.name_string().size() > kPrefix.size() &&
+         EqualsIgnoringCase(View(field.name_string()).substr(0, kPrefix.size()),
+                            kPrefix);
+}
+
+bool IsNameCharacter(char c) {
+  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+         (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.';
+}
+
+bool IsName(std::string_view text) {
+  return !text.empty() && text.size() <= kNameLimit &&
+         std::all_of(text.begin(), text.end(), IsNameCharacter);
+}
+
+bool IsKey(std::string_view text) {
+  return !text.empty() && text.size() <= kKeyLimit;
+}
+
+bool IsRequestId(std::string_view text) {
+  return !text.empty() && text.size() <= kRequestIdLimit &&
+         std::all_of(text.begin(), text.end(),
+                     [](char c) { return c > ' ' && c < '\x7f'; });
+}
+
+// Path segment between the first and the second '/'.
+std::string_view FirstSegment(std::string_view target) {
+  if (target.empty() || target.front() != '/') {
+    return {};
+  }
+  target.remove_prefix(1);
+  return target.substr(0, target.find_first_of("/?#"));
+}
+
+bool ParseDeadline(std::string_view text, RequestContext& context) {
+  std::int64_t value = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, value);
+  if (parsed.ec != std::errc() || parsed.ptr != end || value < 1 ||
+      value > kDeadlineLimitMs) {
+    return false;
+  }
+  context.time_allowed = Milliseconds(value);
+  return true;
+}
+
+bool ParseRepeatable(std::string_view text, RequestContext& context) {
+  context.repeatable = text == "yes";
+  return text == "yes" || text == "no";
+}
+
+template <bool (*IsValid)(std::string_view),
+          std::string_view RequestContext::*Member>
+bool ParseText(std::string_view text, RequestContext& context) {
+  context.*Member = text;
+  return IsValid(text);
+}
+
+struct HeaderRule {
+  std::string_view name;
+  bool (*parse)(std::string_view, RequestContext&);
+};
+
+constexpr std::array<HeaderRule, 7> kRules = {{
+    {kServiceHeader, ParseText<IsName, &RequestContext::service>},
+    {kKeyHeader, ParseText<IsKey, &RequestContext::key>},
+    {kTenantHeader, ParseText<IsName, &RequestContext::tenant>},
+    {kClassHeader, ParseText<IsName, &RequestContext::request_class>},
+    {kRequestIdHeader, ParseText<IsRequestId, &RequestContext::request_id>},
+    {kRepeatableHeader, ParseRepeatable},
+    {kDeadlineHeader, ParseDeadline},
+}};
+
+// Headers that the instance sets itself or that only it may set.
+bool IsReserved(std::string_view name) {
+  return EqualsIgnoringCase(name, kHashHeader) ||
+         EqualsIgnoringCase(name, kTokenHeader) ||
+         EqualsIgnoringCase(name, kVerdictHeader) ||
+         EqualsIgnoringCase(name, kRequestIdHeader) ||
+         EqualsIgnoringCase(name, kDeadlineHeader);
+}
+
+// Headers of one connection only, and those that frame the message.
+bool IsHopByHop(http::field name) {
+  switch (name) {
+    case http::field::connection:
+    case http::field::keep_alive:
+    case http::field::proxy_connection:
+    case http::field::proxy_authenticate:
+    case http::field::proxy_authorization:
+    case http::field::te:
+    case http::field::trailer:
+    case http::field::transfer_encoding:
+    case http::field::upgrade:
+      return true;
+    default:
+      return false;
+  }
+}
+
+// Whether `connection`, the value of a Connection header, names the field.
+bool IsNominated(boost::beast::string_view connection,
+                 boost::beast::string_view name) {
+  return !connection.empty() && http::token_list{connection}.exists(name);
+}
+
+void AppendField(std::string_view name,
+                 std::string_view value,
+                 std::string& out) {
+  out.append(name).append(": ").append(value).append("\r\n");
+}
+
+void AppendNumber(std::string_view name,
+                  std::uint64_t value,
+                  std::string& out) {
+  std::array<char, 20> digits;
+  const auto end =
+      std::to_chars(digits.data(), digits.data() + digits.size(), value).ptr;
+  AppendField(name, {digits.data(), end}, out);
+}
+
+// Appends the end-to-end headers that `is_dropped` lets through.
+template <typename Predicate>
+void AppendEndToEnd(const http::fields& fields,
+                    std::string& out,
+                    Predicate is_dropped) {
+  const auto connections = fields.equal_range(http::field::connection);
+  for (const auto& field : fields) {
+    if (IsHopByHop(field.name()) || is_dropped(field) ||
+        std::any_of(connections.first, connections.second,
+                    [&field](const auto& connection) {
+                      return IsNominated(connection.value(),
+                                         field.name_string());
+                    })) {
+      continue;
+    }
+    AppendField(View(field.name_string()), View(field.value()), out);
+  }
+}
+
+}  // namespace
+
+Result<RequestContext> ParseRequestContext(const http::fields& fields,
+                                           http::verb method,
+                                           std::string_view target) {
+  RequestContext context;
+  context.repeatable = method == http::verb::get || method == http::verb::head;
+  unsigned seen = 0;
+  for (const auto& field : fields) {
+    if (!IsSnipehallHeader(field)) {
+      continue;
+    }
+    const std::string_view name = View(field.name_string());
+    for (std::size_t i = 0; i < kRules.size(); ++i) {
+      if (!EqualsIgnoringCase(name, kRules[i].name)) {
+        continue;
+      }
+      if ((seen & (1U << i)) != 0 ||
+          !kRules[i].parse(View(field.value()), context)) {
+        return Fail(ErrorCode::kInvalidArgument,
+                    "invalid or repeated header " + std::string(name));
+      }
+      seen |= 1U << i;
+    }
+  }
+  if (context.service.empty()) {
+    context.service = FirstSegment(target);
+    if (!IsName(context.service)) {
+      return Fail(ErrorCode::kInvalidArgument, "the request names no service");
+    }
+  }
+  return context;
+}
+
+void AppendForwardedHead(const http::request_header<>& request,
+                         const ForwardedValues& values,
+                         std::string& out) {
+  out.append(View(request.method_string())).append(" ");
+  out.append(View(request.target())).append(" HTTP/1.1\r\n");
+  AppendEndToEnd(request, out, [](const auto& field) {
+    return field.name() == http::field::content_length ||
+           field.name() == http::field::expect ||
+           (IsSnipehallHeader(field) && IsReserved(View(field.name_string())));
+  });
+  AppendField(kRequestIdHeader, values.request_id, out);
+  AppendNumber(kDeadlineHeader, static_cast<std::uint64_t>(values.deadline_ms),
+               out);
+  if (values.hash) {
+    AppendField(kHashHeader, ToHex(*values.hash), out);
+    AppendNumber(kTokenHeader, values.token, out);
+  }
+  if (values.framing == BodyFraming::kLength) {
+    AppendNumber("Content-Length", values.body_length, out);
+  } else if (values.framing == BodyFraming::kChunked) {
+    AppendField("Transfer-Encoding", "chunked", out);
+  }
+  out.append("\r\n");
+}
+
+void AppendAnswerHead(const http::response_header<>& answer,
+                      BodyFraming framing,
+                      std::uint64_t body_length,
+                      bool keep_alive,
+                      std::string& out) {
+  std::array<char, 8> status;
+  const auto end = std::to_chars(status.data(), status.data() + status.size(),
+                                 answer.result_int())
+                       .ptr;
+  out.append("HTTP/1.1 ").append(status.data(), end).append(" ");
+  out.append(View(answer.reason())).append("\r\n");
+  AppendEndToEnd(answer, out, [framing](const auto& field) {
+    return (framing != BodyFraming::kNone &&
+            field.name() == http::field::content_length) ||
+           (IsSnipehallHeader(field) &&
+            EqualsIgnoringCase(View(field.name_string()), kVerdictHeader));
+  });
+  if (framing == BodyFraming::kLength) {
+    AppendNumber("Content-Length", body_length, out);
+  } else if (framing == BodyFraming::kChunked) {
+    AppendField("Transfer-Encoding", "chunked", out);
+  }
+  if (!keep_alive) {
+    AppendField("Connection", "close", out);
+  }
+  out.append("\r\n");
+}
+
+}  // namespace snipehall
--- /dev/null
+++ b/src/transport/asio_types.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/basic_stream_socket.hpp>
+#include <boost/asio/basic_waitable_timer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/system/error_code.hpp>
+#include <chrono>
+
+namespace snipehall {
+
+// Asio types bound to one executor type. The type-erased default executor costs
+// an allocation or an indirect call in each operation.
+using Executor = boost::asio::io_context::executor_type;
+using Socket = boost::asio::basic_stream_socket<boost::asio::ip::tcp, Executor>;
+using Timer = boost::asio::basic_waitable_timer<
+    std::chrono::steady_clock,
+    boost::asio::wait_traits<std::chrono::steady_clock>,
+    Executor>;
+template <typename T>
+using Task = boost::asio::awaitable<T, Executor>;
+
+// Completion token: `auto [error, ...] = co_await operation(kTask);`
+inline constexpr auto kTask =
+    boost::asio::as_tuple(boost::asio::use_awaitable_t<Executor>{});
+
+}  // namespace snipehall
--- /dev/null
+++ b/src/transport/request_exchange.cc
@@ -0,0 +1,333 @@
+#include "transport/request_exchange.h"
+
+#include <array>
+#include <boost/beast/core/string.hpp>
+#include <charconv>
+
+#include "protocol/http_rules.h"
+#include "protocol/target_protocol.h"
+#include "transport/caller_limits.h"
+
+namespace snipehall {
+
+namespace {
+
+namespace http = boost::beast::http;
+using boost::asio::buffer;
+using boost::system::error_code;
+
+constexpr std::string_view kLineEnd = "\r\n";
+constexpr std::string_view kLastChunk = "0\r\n\r\n";
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+// Refusals have short bodies; a longer one costs less by a new connection.
+constexpr std::size_t kRefusalBodyLimit = std::size_t{64} * 1024;
+
+boost::asio::const_buffer BufferOf(std::string_view text) {
+  return buffer(text.data(), text.size());
+}
+
+// The line before a chunk: its size in hexadecimal digits.
+class ChunkLine {
+ public:
+  explicit ChunkLine(std::size_t size) {
+    char* end = std::to_chars(m_text.data(), m_text.data() + 16, size, 16).ptr;
+    *end++ = '\r';
+    *end++ = '\n';
+    m_size = static_cast<std::size_t>(end - m_text.data());
+  }
+  boost::asio::const_buffer bytes() const {
+    return buffer(m_text.data(), m_size);
+  }
+
+ private:
+  std::array<char, 18> m_text;
+  std::size_t m_size = 0;
+};
+
+}  // namespace
+
+RequestExchange::~RequestExchange() {
+  m_request.target = nullptr;
+  m_target.set_on_input(nullptr);
+}
+
+Task<ExchangeResult> RequestExchange::Run() {
+  m_request.target = &m_target;
+  m_target.set_on_input([this] {
+    // The answer, or the end of the connection, came before the whole request
+    // was sent: stop sending and look at it.
+    if (m_sending) {
+      m_target.Cancel();
+      m_request.caller.Cancel();
+    }
+  });
+  ExchangeResult result;
+  m_sending = true;
+  const error_code send_error = co_await Send();
+  m_sending = false;
+  if (m_request.body_streamed) {
+    m_request.timer.Arm(m_request.deadline);
+  }
+  result.sent = m_sent > 0;
+  if (m_request.interrupted()) {
+    result.end = ExchangeEnd::kInterrupted;
+    co_return result;
+  }
+  if (m_caller_failed) {
+    result.end = ExchangeEnd::kCallerFailed;
+    co_return result;
+  }
+  if (send_error && !result.sent) {
+    result.end = ExchangeEnd::kNotSent;
+    co_return result;
+  }
+  // A target that closes its input may have answered before.
+  const error_code error = co_await ReceiveHead();
+  if (error) {
+    result.end = FailureEnd();
+    co_return result;
+  }
+  if (IsRefusal()) {
+    result.end = ExchangeEnd::kRefused;
+    const bool whole = co_await SkipAnswer();
+    result.reusable = whole && IsReusable();
+    co_return result;
+  }
+  result.end = co_await StreamAnswer();
+  result.reusable = result.end == ExchangeEnd::kAnswered && IsReusable();
+  co_return result;
+}
+
+ExchangeEnd RequestExchange::FailureEnd() const {
+  return m_request.interrupted() ? ExchangeEnd::kInterrupted
+                                 : ExchangeEnd::kLost;
+}
+
+Task<error_code> RequestExchange::Send() {
+  std::string& head = m_request.head;
+  head.clear();
+  AppendForwardedHead(m_request.parser->get(), m_values, head);
+  m_target.StartRead();
+  if (m_target.input_error()) {
+    co_return m_target.input_error();
+  }
+  if (m_request.body_streamed) {
+    const error_code error = co_await SendStreamedBody();
+    co_return error;
+  }
+  if (!m_request.watches_caller) {
+    m_request.WatchCaller();
+  }
+  std::string_view body;
+  if (m_request.framing == BodyFraming::kLength) {
+    body = m_request.caller.data().substr(0, m_request.body_length);
+  }
+  const error_code error =
+      co_await m_target.Write({BufferOf(head), BufferOf(body), {}, {}}, m_sent);
+  m_request_complete = !error;
+  co_return error;
+}
+
+Task<error_code> RequestExchange::SendStreamedBody() {
+  RequestParser& parser = *m_request.parser;
+  if (m_request.caller.data().empty()) {
+    const error_code error =
+        co_await m_target.Write({BufferOf(m_request.head), {}, {}, {}}, m_sent);
+    m_request.head.clear();
+    if (error) {
+      co_return error;
+    }
+  }
+  if (m_request.expects_continue) {
+    m_request.expects_continue = false;
+    std::size_t ignored = 0;
+    co_await m_request.caller.Write({BufferOf(kContinue), {}, {}, {}}, ignored);
+  }
+  m_request.body_consumed = true;
+  while (!parser.is_done()) {
+    if (m_request.interrupted() || !m_target.data().empty() ||
+        m_target.input_error()) {
+      co_return error_code();
+    }
+    m_request.timer.Arm(
+        std::min(m_request.deadline,
+                 std::chrono::steady_clock::now() + CallerLimits::kBodyIdle));
+    BodyPiece piece;
+    error_code error = co_await ReadPiece(m_request.caller, parser, piece);
+    if (error) {
+      const bool stopped = m_request.interrupted() ||
+                           !m_target.data().empty() || m_target.input_error();
+      m_caller_failed = !stopped;
+      co_return error_code();
+    }
+    error = co_await SendPiece(piece);
+    m_request.caller.Consume(piece.consumed);
+    if (error) {
+      co_return error;
+    }
+  }
+  const error_code error = co_await SendLastChunk();
+  m_request_complete = !error;
+  m_request.WatchCaller();
+  co_return error;
+}
+
+Task<error_code> RequestExchange::SendPiece(const BodyPiece& piece) {
+  if (piece.bytes.empty()) {
+    co_return error_code();
+  }
+  const ChunkLine line(piece.bytes.size());
+  const bool chunked = m_request.framing == BodyFraming::kChunked;
+  ByteStream::Buffers buffers = {
+      BufferOf(m_request.head), {}, BufferOf(piece.bytes), {}};
+  if (chunked) {
+    buffers[1] = line.bytes();
+    buffers[3] = BufferOf(kLineEnd);
+  }
+  const error_code error = co_await m_target.Write(buffers, m_sent);
+  m_request.head.clear();
+  co_return error;
+}
+
+Task<error_code> RequestExchange::SendLastChunk() {
+  if (m_request.framing != BodyFraming::kChunked) {
+    co_return error_code();
+  }
+  const error_code error = co_await m_target.Write(
+      {BufferOf(m_request.head), BufferOf(kLastChunk), {}, {}}, m_sent);
+  m_request.head.clear();
+  co_return error;
+}
+
+Task<error_code> RequestExchange::ReceiveHead() {
+  for (;;) {
+    const std::string_view input = m_target.data();
+    const std::size_t size = FindHeadEnd(input);
+    if (size == 0) {
+      if (m_request.interrupted()) {
+        co_return error_code(boost::asio::error::operation_aborted);
+      }
+      const error_code error = co_await m_target.Fill();
+      if (error) {
+        co_return error;
+      }
+      continue;
+    }
+    if (!CheckHeadBytes(input.substr(0, size))) {
+      co_return error_code(http::error::bad_value);
+    }
+    m_parser.emplace();
+    m_parser->header_limit(static_cast<std::uint32_t>(size));
+    m_parser->body_limit(boost::none);
+    m_parser->skip(m_request.parser->get().method() == http::verb::head);
+    error_code error;
+    const std::size_t used = m_parser->put(buffer(input.data(), size), error);
+    m_target.Consume(used);
+    if (error || !m_parser->is_header_done()) {
+      co_return error ? error : error_code(http::error::bad_value);
+    }
+    const auto& answer = m_parser->get();
+    if (answer.count(http::field::content_length) +
+            answer.count(http::field::transfer_encoding) >
+        1) {
+      co_return error_code(http::error::bad_content_length);
+    }
+    const unsigned status = answer.result_int();
+    if (status == 101 || status < 100) {
+      co_return error_code(http::error::bad_status);
+    }
+    if (status >= 200) {
+      m_request.answer_status = static_cast<int>(status);
+      co_return error_code();
+    }
+  }
+}
+
+bool RequestExchange::IsRefusal() const {
+  const auto& answer = m_parser->get();
+  const auto verdict = answer[{kVerdictHeader.data(), kVerdictHeader.size()}];
+  return (answer.result() == http::status::conflict ||
+          answer.result() == http::status::service_unavailable) &&
+         verdict == "not-run";
+}
+
+Task<bool> RequestExchange::SkipAnswer() {
+  std::size_t skipped = 0;
+  while (!m_parser->is_done() && skipped <= kRefusalBodyLimit) {
+    BodyPiece piece;
+    const error_code error = co_await ReadPiece(m_target, *m_parser, piece);
+    if (error) {
+      co_return false;
+    }
+    m_target.Consume(piece.consumed);
+    skipped += piece.consumed;
+  }
+  co_return m_parser->is_done();
+}
+
+BodyFraming RequestExchange::AnswerFraming() const {
+  const auto& answer = m_parser->get();
+  if (m_request.parser->get().method() == http::verb::head ||
+      answer.result() == http::status::no_content ||
+      answer.result() == http::status::not_modified) {
+    return BodyFraming::kNone;
+  }
+  // A body that ends with the connection is passed on in chunks, so that the
+  // caller can tell its end from a failure.
+  return m_parser->content_length() ? BodyFraming::kLength
+                                    : BodyFraming::kChunked;
+}
+
+Task<ExchangeEnd> RequestExchange::StreamAnswer() {
+  const BodyFraming framing = AnswerFraming();
+  const bool chunked = framing == BodyFraming::kChunked;
+  m_request.keep_alive = m_request.keep_alive && m_request_complete;
+  std::string& head = m_request.head;
+  head.clear();
+  AppendAnswerHead(m_parser->get(), framing,
+                   m_parser->content_length().value_or(0), m_request.keep_alive,
+                   head);
+  bool done = false;
+  while (!done) {
+    BodyPiece piece;
+    // The head does not wait for a body that has yet to come.
+    if (head.empty() || !m_target.data().empty() || m_parser->is_done()) {
+      const error_code error = co_await ReadPiece(m_target, *m_parser, piece);
+      if (error) {
+        co_return m_request.answer_started ? ExchangeEnd::kBroken
+                                           : FailureEnd();
+      }
+      done = m_parser->is_done();
+    }
+    const ChunkLine line(piece.bytes.size());
+    ByteStream::Buffers buffers = {
+        BufferOf(head), {}, BufferOf(piece.bytes), {}};
+    if (chunked && !piece.bytes.empty()) {
+      buffers[1] = line.bytes();
+      buffers[3] = BufferOf(kLineEnd);
+    } else if (chunked && done) {
+      buffers[1] = BufferOf(kLastChunk);
+    }
+    if (m_request.interrupted()) {
+      co_return m_request.answer_started ? ExchangeEnd::kBroken
+                                         : ExchangeEnd::kInterrupted;
+    }
+    m_request.answer_started = true;
+    std::size_t written = 0;
+    const error_code error = co_await m_request.caller.Write(buffers, written);
+    if (error) {
+      co_return ExchangeEnd::kBroken;
+    }
+    head.clear();
+    m_target.Consume(piece.consumed);
+  }
+  co_return ExchangeEnd::kAnswered;
+}
+
+bool RequestExchange::IsReusable() const {
+  return m_request_complete && m_parser->keep_alive() &&
+         m_target.data().empty() && !m_target.input_error();
+}
+
+}  // namespace snipehall
--- /dev/null
+++ b/src/transport/target_caller.cc
@@ -0,0 +1,124 @@
+#include "transport/target_caller.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <utility>
+
+#include "protocol/http_rules.h"
+#include "transport/deadline_timer.h"
+#include "transport/view_body.h"
+
+namespace snipehall {
+
+namespace {
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+}  // namespace
+
+void TargetCaller::Cancel(std::string_view address,
+                          std::string_view request_id) {
+  boost::json::object body;
+  body["request_id"] = request_id;
+  const std::string text = boost::json::serialize(body);
+  Spawn(address,
+        "POST /control/cancel HTTP/1.1\r\nHost: " + std::string(address) +
+            "\r\nContent-Type: application/json\r\nContent-Length: " +
+            std::to_string(text.size()) + "\r\n\r\n" + text,
+        nullptr);
+}
+
+void TargetCaller::Probe(std::string_view address,
+                         std::function<void()> on_answer) {
+  Spawn(address,
+        "GET /health HTTP/1.1\r\nHost: " + std::string(address) + "\r\n\r\n",
+        std::move(on_answer));
+}
+
+void TargetCaller::Close() {
+  m_closed = true;
+  for (ByteStream* stream : m_streams) {
+    stream->Cancel();
+  }
+}
+
+void TargetCaller::Spawn(std::string_view address,
+                         std::string message,
+                         std::function<void()> on_answer) {
+  std::shared_ptr<TargetPool> pool = m_pools.Find(address);
+  if (m_closed || !pool || m_running >= kLimit || !pool->HasRoom()) {
+    return;
+  }
+  ++m_running;
+  boost::asio::co_spawn(
+      m_executor,
+      Send(std::move(pool), std::move(message), std::move(on_answer)),
+      boost::asio::detached);
+}
+
+Task<void> TargetCaller::Send(std::shared_ptr<TargetPool> pool,
+                              std::string message,
+                              std::function<void()> on_answer) {
+  std::shared_ptr<ByteStream> stream = pool->TakeIdle();
+  const bool warm = stream != nullptr;
+  if (!warm) {
+    stream = pool->NewStream(m_executor);
+  }
+  TargetPool::Lease lease(pool, stream);
+  m_streams.insert(stream.get());
+  const auto timer = std::make_shared<DeadlineTimer>(
+      m_executor, [raw = stream.get()] { raw->Close(); });
+  timer->Arm(std::chrono::steady_clock::now() + kTimeLimit);
+  error_code error;
+  if (!warm) {
+    const auto [connect_error] =
+        co_await stream->socket().async_connect(pool->endpoint(), kTask);
+    error = connect_error;
+  }
+  bool answered = false;
+  if (!error && !m_closed) {
+    answered = co_await Exchange(*stream, message);
+  }
+  timer->Close();
+  m_streams.erase(stream.get());
+  stream.reset();
+  --m_running;
+  if (answered) {
+    lease.Reuse();
+    if (on_answer) {
+      on_answer();
+    }
+  }
+}
+
+Task<bool> TargetCaller::Exchange(ByteStream& stream,
+                                  std::string_view message) {
+  std::size_t written = 0;
+  error_code error = co_await stream.Write(
+      {boost::asio::buffer(message.data(), message.size()), {}, {}, {}},
+      written);
+  std::size_t size = 0;
+  while (!error && (size = FindHeadEnd(stream.data())) == 0) {
+    error = co_await stream.Fill();
+  }
+  if (error) {
+    co_return false;
+  }
+  http::response_parser<ViewBody> parser;
+  const std::size_t used =
+      parser.put(boost::asio::buffer(stream.data().data(), size), error);
+  stream.Consume(used);
+  while (!error && !parser.is_done()) {
+    BodyPiece piece;
+    error = co_await ReadPiece(stream, parser, piece);
+    stream.Consume(piece.consumed);
+  }
+  co_return !error && parser.keep_alive() &&
+      parser.get().result() == http::status::ok;
+}
+
+}  // namespace snipehall
--- /dev/null
+++ b/src/transport/target_pool.cc
@@ -0,0 +1,142 @@
+#include "transport/target_pool.h"
+
+#include <algorithm>
+#include <boost/asio/ip/address.hpp>
+#include <charconv>
+#include <cstdint>
+
+namespace snipehall {
+
+namespace {
+
+using boost::asio::ip::tcp;
+
+}  // namespace
+
+TargetPool::Lease::~Lease() {
+  if (m_pool) {
+    m_pool->Release(std::move(m_stream), false);
+  }
+}
+
+void TargetPool::Lease::Reuse() {
+  std::exchange(m_pool, nullptr)->Release(std::move(m_stream), true);
+}
+
+std::shared_ptr<ByteStream> TargetPool::TakeIdle() {
+  if (m_idle.empty()) {
+    return nullptr;
+  }
+  std::shared_ptr<ByteStream> stream = std::move(m_idle.back());
+  m_idle.pop_back();
+  stream->set_on_input(nullptr);
+  ++m_in_use;
+  return stream;
+}
+
+std::shared_ptr<ByteStream> TargetPool::NewStream(const Executor& executor) {
+  // Idle connections count towards the limit: the oldest one makes room.
+  if (!m_idle.empty() && m_in_use + idle() >= m_limit) {
+    m_idle.front()->Close();
+    m_idle.erase(m_idle.begin());
+  }
+  ++m_in_use;
+  return std::make_shared<ByteStream>(Socket(executor, m_endpoint.protocol()));
+}
+
+void TargetPool::Release(std::shared_ptr<ByteStream> stream, bool reusable) {
+  --m_in_use;
+  stream->set_on_input(nullptr);
+  if (!reusable || stream->input_error() || !stream->data().empty() ||
+      m_in_use + idle() >= m_limit) {
+    stream->Close();
+    return;
+  }
+  // Any input on an idle connection is its end: a close, or bytes that no
+  // request asked for.
+  stream->set_on_input([pool = weak_from_this(), raw = stream.get()] {
+    if (const auto self = pool.lock()) {
+      self->RemoveIdle(raw);
+    }
+  });
+  stream->StartRead();
+  m_idle.push_back(std::move(stream));
+}
+
+void TargetPool::RemoveIdle(const ByteStream* stream) {
+  const auto found =
+      std::find_if(m_idle.begin(), m_idle.end(),
+                   [stream](const auto& item) { return item.get() == stream; });
+  if (found != m_idle.end()) {
+    boost::system::error_code ignored;
+    (*found)->socket().close(ignored);
+    m_idle.erase(found);
+  }
+}
+
+void TargetPool::CloseIdle() {
+  for (const auto& stream : m_idle) {
+    stream->Close();
+  }
+  m_idle.clear();
+}
+
+std::shared_ptr<TargetPool> TargetPools::Find(std::string_view address) {
+  const auto found = m_pools.find(address);
+  if (found != m_pools.end()) {
+    return found->second;
+  }
+  const auto endpoint = ParseEndpoint(address);
+  if (!endpoint) {
+    return nullptr;
+  }
+  return m_pools
+      .emplace(address, std::make_shared<TargetPool>(endpoint.value()))
+      .first->second;
+}
+
+void TargetPools::CloseIdle() {
+  for (const auto& [address, pool] : m_pools) {
+    pool->CloseIdle();
+  }
+}
+
+int TargetPools::in_use() const {
+  int sum = 0;
+  for (const auto& [address, pool] : m_pools) {
+    sum += pool->in_use();
+  }
+  return sum;
+}
+
+int TargetPools::idle() const {
+  int sum = 0;
+  for (const auto& [address, pool] : m_pools) {
+    sum += pool->idle();
+  }
+  return sum;
+}
+
+Result<tcp::endpoint> ParseEndpoint(std::string_view address) {
+  const std::size_t colon = address.rfind(':');
+  std::string_view host = address.substr(0, colon);
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+    host = host.substr(1, host.size() - 2);
+  }
+  const std::string_view port =
+      colon == std::string_view::npos ? "" : address.substr(colon + 1);
+  std::uint16_t number = 0;
+  const auto parsed =
+      std::from_chars(port.data(), port.data() + port.size(), number);
+  boost::system::error_code error;
+  const auto ip = boost::asio::ip::make_address(std::string(host), error);
+  if (error || parsed.ec != std::errc() ||
+      parsed.ptr != port.data() + port.size()) {
+    return Fail(
+        ErrorCode::kInvalidArgument,
+        "expected 'IP-number:port', found '" + std::string(address) + "'");
+  }
+  return tcp::endpoint(ip, number);
+}
+
+}  // namespace snipehall
--- /dev/null
+++ b/tests/unit/data_forwarding_test.cc
@@ -0,0 +1,97 @@
+#include "unit/support/data_fixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace snipehall;        // NOLINT(google-build-using-namespace)
+using namespace snipehall::test;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+// Answers with the body of the request.
+bool Echo(RawSocket& connection, const std::string& head) {
+  const std::string body = connection.ReadExactly(
+      std::strtoul(HeaderOf(head, "Content-Length").c_str(), nullptr, 10));
+  return connection.Send(
+      "HTTP/1.1 200 OK\r\nX-Target: yes\r\nContent-Length: " +
+      std::to_string(body.size()) + "\r\n\r\n" + body);
+}
+
+}  // namespace
+
+// Guards against requests that lose headers, body or identity on the way.
+Test(data_forwarding, request_reaches_target_with_headers) {
+  FakeTarget target(Echo);
+  DataFixture fixture;
+  DataFixture::MakeKeyed(fixture.AddService("shelf", {target.address()}), 0, 7);
+  fixture.Start();
+  const Answer answer = fixture.Call(
+      Post("/shelf/item?x=1", "hello",
+           "Snipehall-Key: k1\r\nSnipehall-Request-Id: r-1\r\n"
+           "Snipehall-Hash: 00\r\nSnipehall-Token: 99\r\n"
+           "Snipehall-Verdict: not-run\r\nX-Extra: a\r\n"
+           "Connection: keep-alive, X-Private\r\nX-Private: b\r\n"
+           "Keep-Alive: timeout=5\r\nTE: trailers\r\nUpgrade: h2c\r\n"));
+  cr_assert_eq(answer.status, 200);
+  cr_assert(answer.whole);
+  cr_assert_str_eq(answer.body.c_str(), "hello");
+  cr_assert_str_eq(answer.Header("X-Target").c_str(), "yes");
+  cr_assert(answer.Header("Snipehall-Verdict").empty());
+  const std::string head = target.heads().at(0);
+  cr_assert(head.starts_with("POST /shelf/item?x=1 HTTP/1.1\r\n"));
+  cr_assert_str_eq(HeaderOf(head, "Snipehall-Hash").c_str(),
+                   ToHex(HashKey("k1")).c_str());
+  cr_assert_str_eq(HeaderOf(head, "Snipehall-Token").c_str(), "7");
+  cr_assert_str_eq(HeaderOf(head, "Snipehall-Request-Id").c_str(), "r-1");
+  cr_assert_gt(std::atoi(HeaderOf(head, "Snipehall-Deadline-Ms").c_str()), 0);
+  cr_assert_str_eq(HeaderOf(head, "X-Extra").c_str(), "a");
+  for (const char* dropped : {"X-Private", "Keep-Alive", "TE", "Upgrade",
+                              "Snipehall-Verdict", "Connection"}) {
+    cr_assert(HeaderOf(head, dropped).empty(), "%s was forwarded", dropped);
+  }
+  cr_assert_eq(head.find("Snipehall-Token: 99"), std::string::npos);
+}
+
+// Guards against a new connection to the target for each request.
+Test(data_forwarding, connections_are_reused) {
+  FakeTarget target(Echo);
+  DataFixture fixture;
+  fixture.AddService("shelf", {target.address()});
+  fixture.Start();
+  RawSocket caller = fixture.Connect();
+  for (int i = 0; i < 20; ++i) {
+    caller.Send(Post("/shelf", "b" + std::to_string(i)));
+    cr_assert_eq(ReadAnswer(caller).body, "b" + std::to_string(i));
+  }
+  cr_assert_eq(target.connections(), 1);
+}
+
+// Guards against answers in the wrong order, or lost requests, when a caller
+// sends several requests without waiting.
+Test(data_forwarding, pipelined_requests_are_answered_in_order) {
+  FakeTarget target(Echo);
+  DataFixture fixture;
+  fixture.AddService("shelf", {target.address()});
+  fixture.Start();
+  RawSocket caller = fixture.Connect();
+  std::string requests;
+  for (int i = 0; i < 50; ++i) {
+    requests += Post("/shelf", "body" + std::to_string(i));
+  }
+  caller.Send(requests);
+  for (int i = 0; i < 50; ++i) {
+    cr_assert_eq(ReadAnswer(caller).body, "body" + std::to_string(i));
+  }
+}
+
+// Guards against unknown services that look like a failed target.
+Test(data_forwarding, unknown_service_and_missing_key_are_refused) {
+  FakeTarget target(Echo);
+  DataFixture fixture;
+  DataFixture::MakeKeyed(fixture.AddService("shelf", {target.address()}), 0, 7);
+  fixture.Start();
+  const Answer unknown = fixture.Call(Get("/nothing"));
+  cr_assert_eq(unknown.status, 404);
+  cr_assert_str_eq(unknown.Header("Snipehall-Verdict").c_str(), "not-run");
+  cr_assert_eq(fixture.Call(Get("/shelf")).status, 400);
+  cr_assert(target.heads().empty());
+}
