--- a/src/transport/control_service.h
+++ b/src/transport/control_service.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <prometheus/registry.h>
+
 #include <atomic>
 #include <functional>
 #include <memory>
@@ -21,6 +23,9 @@
   ServiceName service;
   ZoneName zone;
   bool leaving = false;
+  // Whether this instance asked the target within the last seconds. It asks
+  // those of the groups that it leads; otherwise the fields below tell nothing.
+  bool asked = false;
   bool reachable = false;
   int outstanding = 0;
 };
@@ -52,9 +57,11 @@
  public:
   using SubmitCallback = std::function<void(Result<SubmitOutcome>)>;
 
-  // Binds the peer listener and starts the threads.
+  // Binds the peer listener and starts the threads. Counters are added to
+  // `registry`, if there is one.
   static Result<std::unique_ptr<ControlService>> Start(
-      const Settings& settings);
+      const Settings& settings,
+      std::shared_ptr<prometheus::Registry> registry = nullptr);
 
   // Leaves the group and ends the threads.
   ~ControlService();
--- a/src/transport/http_connection.cc
+++ b/src/transport/http_connection.cc
@@ -75,6 +75,11 @@
       m_bytes(bytes) {}
 
 void HttpConnection::Close() {
+  ++m_closes;
+  Disconnect();
+}
+
+void HttpConnection::Disconnect() {
   if (m_stream) {
     m_stream->close();
     m_stream.reset();
@@ -85,13 +90,14 @@
     HttpCall call,
     MonotonicTime deadline) {
   if (m_stream && IsStale(*m_stream)) {
-    Close();
+    Disconnect();
   }
   const bool reused = m_stream != nullptr;
+  const std::uint64_t closes = m_closes;
   Result<HttpReply> reply = co_await ExchangeOnce(call, deadline);
   const bool broken =
       reply.has_error() && reply.error().code == ErrorCode::kUnavailable;
-  if (broken && reused && call.repeatable) {
+  if (broken && reused && call.repeatable && closes == m_closes) {
     co_return co_await ExchangeOnce(call, deadline);
   }
   co_return reply;
@@ -159,7 +165,7 @@
   reply.status = parser.get().result_int();
   reply.body = std::move(parser.get().body());
   if (!parser.get().keep_alive() && m_stream == stream) {
-    Close();
+    Disconnect();
   }
   co_return reply;
 }
--- a/src/transport/http_connection.h
+++ b/src/transport/http_connection.h
@@ -68,6 +68,7 @@
  private:
   using Stream = boost::beast::tcp_stream;
 
+  void Disconnect();
   boost::asio::awaitable<Result<HttpReply>> ExchangeOnce(
       const HttpCall& call,
       MonotonicTime deadline);
@@ -80,6 +81,8 @@
   ByteCount* m_bytes;
   std::shared_ptr<Stream> m_stream;
   boost::beast::flat_buffer m_buffer;
+  // Number of calls of Close(); a closed exchange is not repeated.
+  std::uint64_t m_closes = 0;
 };
 
 }  // namespace snipehall
--- a/src/transport/log_appender.h
+++ b/src/transport/log_appender.h
@@ -16,11 +16,11 @@
 
 namespace snipehall {
 
-// Appends records to the log, each until it was read back or its deadline has
-// passed. When the outcome of an append is not known, the record is sent again
-// only after a read that began after the failure has reached the end of the
-// log without showing it. A record that is in the log twice does no harm: the
-// fold ignores the second, because its `based_on` is no longer current.
+// Appends records to the log, each until it was read back; none is sent after
+// its deadline. When the outcome of an append is not known, the record is sent
+// again only after a read that began after the failure has reached the end of
+// the log without showing it. A record that is in the log twice does no harm:
+// the fold ignores the second, because its `based_on` is no longer current.
 template <LogClient Client>
 class LogAppender {
  public:
@@ -29,8 +29,9 @@
     std::size_t records = 256;
     // Appends in progress at a time.
     std::size_t parallel = 4;
-    // Time after which one append is given up.
-    Milliseconds call{1000};
+    // Time after which one append is given up, also beyond the record's
+    // deadline: a slow log may still be about to answer.
+    Milliseconds call{2000};
     // Pause after a refused connection.
     Milliseconds pause{50};
   };
@@ -94,6 +95,9 @@
     Pump(now);
   }
 
+  // Sends no more.
+  void Stop() { m_stopped = true; }
+
   // Whether the record with `id` may have reached the log.
   bool MayBeAppended(std::string_view id) const {
     const Entry* entry = Find(id);
@@ -131,7 +135,7 @@
 
   void Pump(MonotonicTime now) {
     for (const auto& entry : m_entries) {
-      if (m_sending >= m_limits.parallel) {
+      if (m_stopped || m_sending >= m_limits.parallel) {
         return;
       }
       if (entry->state != State::kWaiting || entry->not_before > now ||
@@ -146,10 +150,8 @@
 
   boost::asio::awaitable<void> Send(std::shared_ptr<Entry> entry) {
     const bool sent_before = std::exchange(entry->sent, true);
-    const MonotonicTime deadline =
-        std::min(entry->deadline, Now() + m_limits.call);
     const Result<LogOffset> offset =
-        co_await m_client->Append(entry->data, deadline);
+        co_await m_client->Append(entry->data, Now() + m_limits.call);
     --m_sending;
     if (offset.has_value()) {
       entry->state = State::kAppended;
@@ -181,6 +183,7 @@
   OnRejected m_on_rejected;
   std::vector<std::shared_ptr<Entry>> m_entries;
   std::size_t m_sending = 0;
+  bool m_stopped = false;
 };
 
 }  // namespace snipehall
--- a/src/transport/target_dispatcher.h
+++ b/src/transport/target_dispatcher.h
@@ -24,7 +24,10 @@
   using Factory = std::function<std::shared_ptr<Client>(const std::string&)>;
 
   struct Events {
-    std::function<void(const TargetId&, const TimedLeaseAnswer&)> on_answer;
+    // `order` is null when a status query was answered.
+    std::function<
+        void(const TargetId&, const LeaseOrder* order, const TimedLeaseAnswer&)>
+        on_answer;
     std::function<void(const TargetId&, const Error&)> on_failure;
   };
 
@@ -123,7 +126,8 @@
         break;
       }
       if (answer.has_value()) {
-        m_events.on_answer(target, answer.value());
+        m_events.on_answer(target, call.order ? &*call.order : nullptr,
+                           answer.value());
       } else {
         m_events.on_failure(target, answer.error());
       }
--- a/tests/unit/target_dispatcher_test.cc
+++ b/tests/unit/target_dispatcher_test.cc
@@ -85,6 +85,7 @@
       },
       {},
       {.on_answer = [this](const TargetId&,
+                           const LeaseOrder*,
                            const TimedLeaseAnswer&) { ++answers; },
        .on_failure = [this](const TargetId&,
                             const snipehall::Error&) { ++failures; }}};
