Let the controller take proposed moves; split off the membership planner

Cause: moves of hot keys are planned outside the controller, and one service's moves have to go into one record. Change: Controller::ProposeMoves(), checked again when the record is made.

--- a/src/coordination/controller.cc
+++ b/src/coordination/controller.cc
@@ -75,6 +75,12 @@
   m_impl->Leave();
 }
 
+void Controller::ProposeMoves(std::string_view service,
+                              LogOffset based_on,
+                              std::vector<OwnerChange> changes) {
+  m_impl->ProposeMoves(service, based_on, std::move(changes));
+}
+
 std::vector<Action> Controller::Tick(MonotonicTime now) {
   return m_impl->Tick(now);
 }
--- a/src/coordination/controller.h
+++ b/src/coordination/controller.h
@@ -86,6 +86,14 @@
   // Stops taking on duties; leases are left to the other members.
   void Leave(MonotonicTime now);
 
+  // Adds moves that were planned elsewhere, for example of hot keys, to the
+  // service's next assignment record. `based_on` is the assignment version that
+  // they were planned from. Dropped unless this instance acts for the groups of
+  // the new owners; a later proposal replaces an earlier one.
+  void ProposeMoves(std::string_view service,
+                    LogOffset based_on,
+                    std::vector<OwnerChange> changes);
+
   // What is due at `now`. Called at least every 20 ms.
   std::vector<Action> Tick(MonotonicTime now);
 
--- a/src/coordination/controller_impl.cc
+++ b/src/coordination/controller_impl.cc
@@ -17,10 +17,8 @@
 // is usually faster.
 constexpr Milliseconds kFetchDelay{60};
 constexpr Milliseconds kFetchInterval{100};
-// Contact within which an instance may become a member.
-constexpr Milliseconds kCandidateContact{3000};
-// Time after a start during which other instances may still be unheard.
-constexpr Milliseconds kAcquaintance{1000};
+// Contact within which a peer is asked for records.
+constexpr Milliseconds kFetchContact{3000};
 // Records after the newest snapshot that cause the next one.
 constexpr LogOffset kSnapshotInterval = 10000;
 // Fewer records than this are never worth a snapshot.
@@ -119,6 +117,13 @@
   m_leases.OnFailure(now, target);
 }
 
+void Controller::Impl::ProposeMoves(std::string_view service,
+                                    LogOffset based_on,
+                                    std::vector<OwnerChange> changes) {
+  m_proposed.insert_or_assign(ServiceName(service),
+                              ProposedMoves{based_on, std::move(changes)});
+}
+
 std::vector<Action> Controller::Impl::Tick(MonotonicTime now) {
   if (m_duties.NoteRunning(now)) {
     m_leases.RestartWatch(now);
@@ -279,8 +284,7 @@
   for (const PlatformInstance& instance : m_instances) {
     const PeerView* view = m_peers.Find(instance.id);
     if (instance.role == PlatformRole::kEntry && view != nullptr &&
-        view->offset() > highest &&
-        now - view->last_heard < kCandidateContact) {
+        view->offset() > highest && now - view->last_heard < kFetchContact) {
       highest = view->offset();
       best = &instance;
     }
@@ -438,6 +442,7 @@
         PlanAssignment({m_fold.state(), m_peers, m_duties, m_leases, m_targets,
                         now, m_options.timing.silence},
                        service);
+    AddProposedMoves(now, service.name, changes);
     if (changes.empty()) {
       continue;
     }
@@ -449,109 +454,54 @@
   }
 }
 
-void Controller::Impl::PlanGroups(MonotonicTime now,
-                                  std::vector<Action>& actions) {
-  if (configuration() == nullptr || m_instances.empty()) {
+void Controller::Impl::AddProposedMoves(MonotonicTime now,
+                                        const ServiceName& service,
+                                        std::vector<OwnerChange>& changes) {
+  const auto node = m_proposed.extract(service);
+  const ServiceAssignment* assignment = m_fold.state().FindAssignment(service);
+  if (node.empty() || assignment == nullptr ||
+      node.mapped().based_on != assignment->version) {
     return;
   }
-  for (const ZoneConfig& zone : configuration()->zones) {
-    if (m_slots.IsFree("members/" + zone.name)) {
-      PlanGroup(now, zone.name, actions);
+  for (const OwnerChange& move : node.mapped().changes) {
+    const GroupMembers* group = m_fold.state().FindGroup(move.group);
+    const auto target = m_targets.find(move.owner);
+    const bool taken = std::any_of(changes.begin(), changes.end(),
+                                   [&](const OwnerChange& change) {
+                                     return change.range.Overlaps(move.range);
+                                   });
+    if (!taken && group != nullptr && target != m_targets.end() &&
+        target->second.zone == move.group && !target->second.leaving &&
+        !configuration()->IsDrained(move.owner) &&
+        m_leases.IsAnswering(now, move.owner) &&
+        m_duties.IsActing(m_peers, *group, now, m_options.timing.silence)) {
+      changes.push_back(move);
     }
   }
 }
 
-void Controller::Impl::PlanGroup(MonotonicTime now,
-                                 const ZoneName& zone,
-                                 std::vector<Action>& actions) {
-  const GroupMembers* group = m_fold.state().FindGroup(zone);
-  const std::vector<MemberCandidate> candidates = Candidates(now, zone, group);
-  const bool proposes =
-      group == nullptr
-          ? ProposesNewGroup(now, candidates)
-          : m_duties.IsActing(m_peers, *group, now, m_options.timing.silence) &&
-                HaveMembersRead(*group);
-  if (!proposes) {
+void Controller::Impl::PlanGroups(MonotonicTime now,
+                                  std::vector<Action>& actions) {
+  if (configuration() == nullptr || m_instances.empty()) {
     return;
   }
-  std::optional<std::vector<InstanceId>> members =
-      PlanMembers(group, candidates);
-  if (members) {
-    actions.emplace_back(AppendRecord{m_slots.Make(
-        now, "members/" + zone, group == nullptr ? 0 : group->version,
-        MembersRecord{zone, std::move(*members)})});
-  }
-}
-
-std::vector<MemberCandidate> Controller::Impl::Candidates(
-    MonotonicTime now,
-    const ZoneName& zone,
-    const GroupMembers* group) const {
-  const Milliseconds replacement = m_options.timing.member_replacement;
-  const auto is_lost = [&](const InstanceId& id) {
-    const PeerView* view = m_peers.Find(id);
-    const auto absent = m_absent_since.find(id);
-    return (view != nullptr && view->leaving) ||
-           m_duties.IsSilent(m_peers, id, now, replacement) ||
-           (absent != m_absent_since.end() &&
-            now - absent->second > replacement);
-  };
-  std::vector<MemberCandidate> candidates;
-  for (const PlatformInstance& instance : m_instances) {
-    if (instance.role != PlatformRole::kEntry) {
+  const MembershipView view{m_fold.state(), m_peers,        m_duties,
+                            m_instances,    m_absent_since, now,
+                            *m_started,     m_options.self, m_options.timing};
+  for (const ZoneConfig& zone : configuration()->zones) {
+    const std::string slot = "members/" + zone.name;
+    if (!m_slots.IsFree(slot)) {
       continue;
     }
-    const bool heard = instance.id == m_options.self ||
-                       !m_peers.IsSilent(instance.id, now, kCandidateContact);
-    candidates.push_back({instance.id, instance.zone == zone, heard,
-                          instance.leaving || is_lost(instance.id)});
-  }
-  if (group != nullptr) {
-    // Members that the list does not name (yet, or any longer).
-    for (const InstanceId& member : group->members) {
-      const bool listed = std::any_of(
-          candidates.begin(), candidates.end(),
-          [&](const MemberCandidate& other) { return other.id == member; });
-      if (!listed) {
-        candidates.push_back({member, false, false, is_lost(member)});
-      }
+    std::optional<std::vector<InstanceId>> members =
+        PlanGroupMembers(view, zone.name);
+    if (members) {
+      const GroupMembers* group = m_fold.state().FindGroup(zone.name);
+      actions.emplace_back(AppendRecord{
+          m_slots.Make(now, slot, group == nullptr ? 0 : group->version,
+                       MembersRecord{zone.name, std::move(*members)})});
     }
   }
-  std::sort(candidates.begin(), candidates.end(),
-            [](const MemberCandidate& a, const MemberCandidate& b) {
-              return a.id < b.id;
-            });
-  return candidates;
-}
-
-bool Controller::Impl::ProposesNewGroup(
-    MonotonicTime now,
-    std::span<const MemberCandidate> candidates) const {
-  const bool has_local = std::any_of(
-      candidates.begin(), candidates.end(),
-      [](const MemberCandidate& candidate) { return candidate.local; });
-  // The first available instance, of the zone itself where it has any.
-  const auto first = std::find_if(candidates.begin(), candidates.end(),
-                                  [&](const MemberCandidate& candidate) {
-                                    return candidate.available &&
-                                           !candidate.lost &&
-                                           (candidate.local || !has_local);
-                                  });
-  if (first == candidates.end() || first->id != m_options.self) {
-    return false;
-  }
-  const bool all_heard =
-      std::all_of(candidates.begin(), candidates.end(),
-                  [](const MemberCandidate& candidate) {
-                    return candidate.available || candidate.lost;
-                  });
-  return all_heard || now - *m_started > kAcquaintance;
-}
-
-bool Controller::Impl::HaveMembersRead(const GroupMembers& group) const {
-  return m_peers.MajorityHasRead(group.members, group.version) &&
-         (group.previous_members.empty() ||
-          m_peers.MajorityHasRead(group.previous_members, group.version));
 }
 
 void Controller::Impl::PlanSnapshot(MonotonicTime now,
--- a/src/coordination/controller_impl.h
+++ b/src/coordination/controller_impl.h
@@ -14,7 +14,7 @@
 #include "coordination/group_duties.h"
 #include "coordination/lease_ledger.h"
 #include "coordination/log_fold.h"
-#include "coordination/membership.h"
+#include "coordination/membership_planner.h"
 #include "coordination/move_settlement.h"
 #include "coordination/peer_table.h"
 
@@ -40,6 +40,9 @@
                      const LeaseAnswer& answer);
   void OnTargetFailure(MonotonicTime now, std::string_view target);
   void Leave() { m_duties.Leave(); }
+  void ProposeMoves(std::string_view service,
+                    LogOffset based_on,
+                    std::vector<OwnerChange> changes);
   std::vector<Action> Tick(MonotonicTime now);
 
   const LogFold& fold() const { return m_fold; }
@@ -47,6 +50,11 @@
   std::shared_ptr<const RoutingTable> routing_table() const { return m_table; }
 
  private:
+  struct ProposedMoves {
+    LogOffset based_on = 0;
+    std::vector<OwnerChange> changes;
+  };
+
   void Fold(MonotonicTime now, std::span<const LogEntry> entries);
   void OnFoldStep(MonotonicTime now, const FoldStep& step);
   void Refresh(MonotonicTime now);
@@ -71,16 +79,10 @@
   bool IsConfirmedByLog(MonotonicTime now) const;
 
   void PlanAssignments(MonotonicTime now, std::vector<Action>& actions);
+  void AddProposedMoves(MonotonicTime now,
+                        const ServiceName& service,
+                        std::vector<OwnerChange>& changes);
   void PlanGroups(MonotonicTime now, std::vector<Action>& actions);
-  void PlanGroup(MonotonicTime now,
-                 const ZoneName& zone,
-                 std::vector<Action>& actions);
-  std::vector<MemberCandidate> Candidates(MonotonicTime now,
-                                          const ZoneName& zone,
-                                          const GroupMembers* group) const;
-  bool ProposesNewGroup(MonotonicTime now,
-                        std::span<const MemberCandidate> candidates) const;
-  bool HaveMembersRead(const GroupMembers& group) const;
   void PlanSnapshot(MonotonicTime now, std::vector<Action>& actions);
 
   const Configuration* configuration() const;
@@ -100,6 +102,7 @@
   KnownTargets m_targets;
   std::map<InstanceId, MonotonicTime, std::less<>> m_absent_since;
   std::set<GroupId, std::less<>> m_extending;
+  std::map<ServiceName, ProposedMoves, std::less<>> m_proposed;
   std::map<InstanceId, MonotonicTime, std::less<>> m_heartbeats_sent;
   std::optional<MonotonicTime> m_behind_since;
   std::optional<MonotonicTime> m_fetched;
