--- a/src/coordination/log_fold.cc
+++ b/src/coordination/log_fold.cc
@@ -32,9 +32,13 @@
 }
 
 LogOffset LogFold::next_read() const {
-  const LogOffset next =
-      m_waiting.empty() ? m_state.offset() + 1 : m_waiting.rbegin()->first + 1;
-  return std::max(next, m_first);
+  const LogOffset next = m_state.offset() + 1;
+  // Entries wait for a snapshot only when the log has dropped those before
+  // them; other gaps are read again.
+  if (m_waiting.empty() || m_first <= next) {
+    return std::max(next, m_first);
+  }
+  return m_waiting.rbegin()->first + 1;
 }
 
 std::vector<LogEntry> LogFold::RecordsFrom(LogOffset from) const {
--- /dev/null
+++ b/tests/unit/controller_parts_test.cc
@@ -0,0 +1,187 @@
+// Confirmation, leases, membership and the fold of entries with gaps.
+
+#include "coordination/confirmation.h"
+#include "coordination/lease_ledger.h"
+#include "coordination/log_fold.h"
+#include "coordination/membership.h"
+
+#include <criterion/criterion.h>
+
+using namespace snipehall;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+using Members = std::vector<InstanceId>;
+
+MonotonicTime At(int ms) {
+  return MonotonicTime(Milliseconds(1000000 + ms));
+}
+
+Heartbeat From(const char* id, LogOffset offset, bool confirmed = true) {
+  Heartbeat heartbeat;
+  heartbeat.from = id;
+  heartbeat.incarnation = 1;
+  heartbeat.offset = offset;
+  heartbeat.confirmed = confirmed;
+  return heartbeat;
+}
+
+LogEntry Group(LogOffset offset, const char* group, Members members) {
+  return {offset, Record{group, "", 0, MembersRecord{group, members}}};
+}
+
+ClusterState StateOf(const std::vector<LogEntry>& entries) {
+  ClusterState state;
+  for (const LogEntry& entry : entries) {
+    state.Apply(entry.offset, *entry.record);
+  }
+  return state;
+}
+
+LeaseAnswer Answer(Incarnation incarnation,
+                   std::int64_t clock_ms,
+                   LogOffset set) {
+  LeaseAnswer answer;
+  answer.accepted = true;
+  answer.incarnation = incarnation;
+  answer.clock_ms = clock_ms;
+  answer.set = set;
+  return answer;
+}
+
+}  // namespace
+
+// Guards against a confirmation by members that have read more than this
+// instance, or that started and know nothing.
+Test(confirmation, majority_is_not_ahead_and_confirmed) {
+  const ClusterState state = StateOf({Group(1, "g", {"1", "2", "3"})});
+  PeerTable peers("1", 1, 10);
+  Confirmation confirmation("1");
+  confirmation.OnCompleteRead(At(0));
+  peers.OnAnswer(At(100), At(110), From("2", 2));
+  peers.OnAnswer(At(100), At(110), From("3", 1, false));
+  confirmation.Update(At(120), state, peers);
+  cr_assert_eq(confirmation.ConfirmedAt("g"), At(0));
+  peers.OnAnswer(At(200), At(210), From("3", 1));
+  confirmation.Update(At(220), state, peers);
+  cr_assert_eq(confirmation.ConfirmedAt("g"), At(200));
+  cr_assert_eq(confirmation.ConfirmedAt("h"), At(0));
+}
+
+// Guards against a restarted member that counts itself, or that counts in one
+// group because another group's majority confirmed it.
+Test(confirmation, starting_member_needs_all_its_groups) {
+  const ClusterState state =
+      StateOf({Group(1, "g", {"1", "2", "3"}), Group(2, "h", {"1", "4", "5"})});
+  PeerTable peers("1", 1, 10);
+  Confirmation confirmation("1");
+  peers.OnAnswer(At(100), At(110), From("2", 2));
+  confirmation.Update(At(120), state, peers);
+  cr_assert_not(confirmation.ConfirmedAt("g").has_value());
+  peers.OnAnswer(At(100), At(110), From("3", 2));
+  confirmation.Update(At(120), state, peers);
+  cr_assert_eq(confirmation.ConfirmedAt("g"), At(100));
+  cr_assert_not(confirmation.started());
+  peers.OnAnswer(At(100), At(110), From("4", 2));
+  peers.OnAnswer(At(100), At(110), From("5", 1));
+  confirmation.Update(At(120), state, peers);
+  cr_assert_not(confirmation.started(), "5 has not read the members of h");
+  peers.OnAnswer(At(130), At(140), From("5", 2));
+  confirmation.Update(At(150), state, peers);
+  cr_assert(confirmation.started());
+}
+
+// Guards against a lease that is counted from the order instead of from the
+// clock reading, and against a set that is not sent to a restarted target.
+Test(lease_ledger, deadline_and_set) {
+  const ControllerTiming timing;
+  LeaseLedger ledger(timing);
+  const LeaseContent content{5, {{{0, 9}, 5}}, true};
+  cr_assert_eq(ledger.Due(At(0), "t", content, true), LeaseStep::kQuery);
+  ledger.NoteQuery(At(0), "t");
+  ledger.OnAnswer(At(0), At(10), "t", Answer(7, 5000, 0));
+  cr_assert_eq(ledger.Due(At(20), "t", content, true),
+               LeaseStep::kExtendAndSet);
+  const LeaseOrder order =
+      ledger.MakeOrder(At(100), "t", content, LeaseStep::kExtendAndSet);
+  cr_assert_eq(order.deadline_ms, 5600);
+  cr_assert(order.ranges == content.ranges);
+  cr_assert_eq(ledger.Remaining(At(110)).at("t"), 10 + 606 - 110);
+  ledger.OnAnswer(At(100), At(110), "t", Answer(7, 5100, 5));
+  cr_assert_eq(ledger.Due(At(200), "t", content, true), LeaseStep::kNothing);
+  cr_assert_eq(ledger.Due(At(250), "t", content, true), LeaseStep::kExtend);
+  cr_assert_eq(ledger.Due(At(250), "t", content, false), LeaseStep::kQuery);
+  ledger.NoteQuery(At(250), "t");
+  ledger.OnAnswer(At(250), At(260), "t", Answer(8, 10, 0));
+  cr_assert_eq(ledger.Due(At(270), "t", content, true),
+               LeaseStep::kExtendAndSet);
+}
+
+// Guards against one lost message that makes a target look lost, and against a
+// dead target that looks alive.
+Test(lease_ledger, silence) {
+  LeaseLedger ledger{ControllerTiming()};
+  ledger.NoteQuery(At(0), "t");
+  cr_assert_not(ledger.IsSilent(At(200), "t"));
+  cr_assert(ledger.IsSilent(At(301), "t"));
+  ledger.OnAnswer(At(0), At(310), "t", Answer(7, 5000, 0));
+  cr_assert(ledger.IsAnswering(At(320), "t"));
+  ledger.OnFailure(At(330), "t");
+  cr_assert_not(ledger.IsSilent(At(500), "t"));
+  ledger.OnFailure(At(380), "t");
+  cr_assert(ledger.IsSilent(At(500), "t"));
+  ledger.RestartWatch(At(600));
+  cr_assert_not(ledger.IsSilent(At(700), "t"));
+}
+
+// Guards against a group without local members where there are enough, and
+// against a group that shrinks or swaps members for nothing.
+Test(membership, prefers_local_and_replaces_lost) {
+  std::vector<MemberCandidate> candidates = {{"a", true, true, false},
+                                             {"b", false, true, false},
+                                             {"c", false, true, false},
+                                             {"d", true, true, false}};
+  cr_assert(PlanMembers(nullptr, candidates) == (Members{"a", "d", "b"}));
+  const GroupMembers group{"g", 1, {"a", "d", "b"}, {}};
+  cr_assert_not(PlanMembers(&group, candidates).has_value());
+  candidates[0] = {"a", true, false, true};
+  cr_assert(PlanMembers(&group, candidates) == (Members{"d", "b", "c"}));
+  candidates[1].available = candidates[2].available = false;
+  cr_assert_not(PlanMembers(&group, candidates).has_value());
+  candidates.push_back({"e", true, true, false});
+  candidates.push_back({"f", true, true, false});
+  cr_assert(PlanMembers(&group, candidates) == (Members{"d", "e", "f"}));
+}
+
+// Guards against records behind a gap that are folded without those before
+// them, and against a snapshot that takes the state back.
+Test(log_fold, gap_is_closed_by_a_snapshot) {
+  const std::vector<LogEntry> log = {
+      Group(1, "g", {"1"}),
+      Group(2, "h", {"1"}),
+      Group(3, "i", {"1"}),
+      {4,
+       Record{
+           "s", "", 2,
+           StateOf({Group(1, "g", {"1"}), Group(2, "h", {"1"})}).ToSnapshot()}},
+      Group(5, "j", {"1"})};
+  LogFold whole;
+  int steps = 0;
+  whole.Accept(log, [&](const FoldStep&) { ++steps; });
+  cr_assert_eq(steps, 5);
+  LogFold late;
+  const auto ignore = [](const FoldStep&) {};
+  late.Accept(std::vector<LogEntry>{log[4]}, ignore);
+  cr_assert_eq(late.state().offset(), 0U);
+  cr_assert_eq(late.next_read(), 1U);
+  late.NoteFirst(3);
+  cr_assert_eq(late.next_read(), 6U);
+  late.Accept(std::vector<LogEntry>{log[2], log[3]}, ignore);
+  cr_assert(late.state() == whole.state());
+  cr_assert_eq(late.next_read(), 6U);
+  LogFold peer;
+  peer.Accept(late.RecordsFrom(1), ignore);
+  cr_assert(peer.state() == whole.state());
+  peer.Accept(log, ignore);
+  cr_assert(peer.state() == whole.state());
+}
--- a/tests/unit/ownership_failures_test.cc
+++ b/tests/unit/ownership_failures_test.cc
@@ -219,3 +219,28 @@
   cr_assert(world.IsServed());
   AssertSafe(world);
 }
+
+// Guards against instances that cannot start, or fall out, once the log has
+// dropped the oldest records.
+Test(ownership_failures, snapshot_replaces_dropped_records) {
+  World world({8});
+  Settle(world);
+  world.CutZone("z2", true, world.now() + 3 * kSecond);
+  for (int i = 0; i < 40; ++i) {
+    world.Publish({});
+  }
+  world.RunUntil(world.now() + kSecond);
+  world.log_first = world.log_end() - 20;
+  world.RunUntil(world.now() + 5 * kSecond);
+  cr_assert(world.IsServed());
+  world.Kill(0);
+  world.Kill(3);
+  world.RestartAt(0, world.now() + 100 * kMs);
+  world.RestartAt(3, world.now() + 100 * kMs);
+  world.RunUntil(world.now() + 3 * kSecond);
+  for (std::size_t i = 0; i < world.instances(); ++i) {
+    cr_assert(world.instance(i).controller->state() == world.truth());
+  }
+  cr_assert(world.IsServed());
+  AssertSafe(world);
+}
--- a/tests/unit/ownership_world.h
+++ b/tests/unit/ownership_world.h
@@ -98,6 +98,8 @@
   // The fold of the whole log.
   const ClusterState& truth() const { return m_history.back(); }
   LogOffset log_end() const { return m_log.size() + 1; }
+  // Oldest offset that the log still holds.
+  LogOffset log_first = 1;
   Time log_down_until = 0;
   Time log_slow_until = 0;
   Time network_slow_until = 0;
@@ -363,8 +365,11 @@
       return;
     }
     LogRead read;
+    read.first = log_first;
     read.end = m_log.size() + 1;
-    for (LogOffset offset = from; offset < read.end; ++offset) {
+    // A read from below the first offset held returns no records.
+    for (LogOffset offset = from < log_first ? read.end : from;
+         offset < read.end; ++offset) {
       read.entries.push_back({offset, m_log[offset - 1]});
     }
     Deliver(i, m_now + Latency(), [this, i, began, read = std::move(read)] {
