Read the token in decimal and work times with a fraction

The data plane sends Snipehall-Token in decimal and the load driver sends X-Work-Ms with a fraction; the target stand-in refused both as malformed.

--- a/tests/standins/target.cc
+++ b/tests/standins/target.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
+#include <charconv>
 #include <chrono>
 #include <deque>
 #include <list>
@@ -30,12 +31,15 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 using boost::system::error_code;
+using std::chrono::microseconds;
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
 // Extra time of a request right after a cold start; it falls to zero in the
 // course of the cold-start time.
 constexpr double kColdPenaltyMs = 20;
+// An hour.
+constexpr double kWorkLimitMs = 3600000;
 constexpr std::uint64_t kReplyBytesLimit = std::uint64_t{256} << 20;
 constexpr std::uint64_t kHistoryPage = 100000;
 
@@ -99,7 +103,7 @@
     std::string id;
     std::uint64_t hash = 0;
     LogOffset token = 0;
-    milliseconds work{0};
+    microseconds work{0};
     steady_clock::time_point deadline = steady_clock::time_point::max();
     std::uint64_t lease_term = 0;
     std::size_t history_index = 0;
@@ -147,11 +151,11 @@
     const HttpRequest& request = job.session->request();
     job.id = Header(request, kRequestIdHeader);
     const std::string_view work = Header(request, kWorkHeader);
-    const auto work_ms = work.empty() ? 0 : ParseNumber(work);
-    if (!work_ms.has_value()) {
-      return "X-Work-Ms is no number";
+    const auto work_time = ReadWork(work);
+    if (!work_time.has_value()) {
+      return "X-Work-Ms is no number or too large";
     }
-    job.work = milliseconds(*work_ms);
+    job.work = *work_time;
     const std::string_view reply_bytes = Header(request, kReplyBytesHeader);
     if (!reply_bytes.empty() &&
         ParseNumber(reply_bytes).value_or(UINT64_MAX) > kReplyBytesLimit) {
@@ -174,7 +178,7 @@
       return nullptr;
     }
     const auto hash_value = ParseHex(hash);
-    const auto token_value = ReadToken(token);
+    const auto token_value = ParseNumber(token);
     if (!hash_value.has_value() || !token_value.has_value()) {
       return "malformed hash or token";
     }
@@ -183,10 +187,19 @@
     return nullptr;
   }
 
-  // Tokens are written like hashes.
-  static std::optional<LogOffset> ReadToken(std::string_view text) {
-    const auto token = ParseHex(text);
-    return token.has_value() ? std::optional(token.value()) : std::nullopt;
+  // Milliseconds, with a fraction.
+  static std::optional<microseconds> ReadWork(std::string_view text) {
+    double work_ms = 0;
+    const char* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, work_ms);
+    if (text.empty()) {
+      return microseconds(0);
+    }
+    if (parsed.ec != std::errc() || parsed.ptr != end || !(work_ms >= 0) ||
+        work_ms > kWorkLimitMs) {
+      return std::nullopt;
+    }
+    return microseconds(static_cast<std::int64_t>(work_ms * 1000));
   }
 
   void StartQueued() {
@@ -213,9 +226,9 @@
         .hash = job->hash,
         .token = job->token,
     });
-    const milliseconds work =
-        job->work +
-        milliseconds(static_cast<int>(kColdPenaltyMs * ColdFraction()));
+    const microseconds work =
+        job->work + microseconds(static_cast<std::int64_t>(
+                        kColdPenaltyMs * 1000 * ColdFraction()));
     if (work.count() == 0) {
       Finish(job);
       return;
