--- /dev/null
+++ b/tests/process/support/traffic.cc
@@ -0,0 +1,292 @@
+#include "process/support/traffic.h"
+
+#include <algorithm>
+#include <boost/algorithm/string/case_conv.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <thread>
+#include <utility>
+
+#include "protocol/target_protocol.h"
+#include "standins/common/echo.h"
+#include "state/verdict.h"
+
+namespace snipehall::test {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t kFaultLimit = 20;
+constexpr std::size_t kQuotedBytes = 200;
+constexpr std::uint64_t kBodyLimit = std::uint64_t{1} << 30;
+// Wait before a connection that failed is tried anew.
+constexpr std::chrono::milliseconds kReconnectPause{10};
+
+std::string LowerCaseName(std::string_view name) {
+  std::string lower(name);
+  boost::algorithm::to_lower(lower);
+  return lower;
+}
+
+}  // namespace
+
+bool IsRightAnswer(const TrafficRequest& request, const HttpReply& reply) {
+  static const std::string kIdName = LowerCaseName(standin::kEchoIdHeader);
+  static const std::string kTargetName =
+      LowerCaseName(standin::kTargetIdHeader);
+  if (reply.status != 200 || reply.Header(kIdName) != request.id) {
+    return false;
+  }
+  const auto method = http::to_string(request.call.method);
+  const std::string expected =
+      request.reply_bytes > 0
+          ? standin::LargeReply(request.id, request.reply_bytes)
+          : standin::SmallReply(reply.Header(kTargetName), request.id,
+                                {method.data(), method.size()},
+                                request.call.path, request.call.body);
+  return reply.body == expected;
+}
+
+std::uint32_t TrafficReport::Percentile(double percentile) const {
+  if (latencies_us.empty()) {
+    return 0;
+  }
+  std::vector<std::uint32_t> sorted = latencies_us;
+  const auto index = static_cast<std::size_t>(
+      percentile / 100 * static_cast<double>(sorted.size() - 1));
+  std::nth_element(sorted.begin(),
+                   sorted.begin() + static_cast<std::ptrdiff_t>(index),
+                   sorted.end());
+  return sorted[index];
+}
+
+std::string TrafficReport::Summary() const {
+  std::string text =
+      "sent " + std::to_string(sent) + ", right " + std::to_string(right) +
+      ", wrong " + std::to_string(wrong) + ", not run " +
+      std::to_string(not_run) + ", may have run " +
+      std::to_string(may_have_run) + ", lost " + std::to_string(lost) +
+      ", seconds " +
+      std::to_string(static_cast<double>(elapsed.count()) / 1e6) + ", p50 us " +
+      std::to_string(Percentile(50)) + ", p99 us " +
+      std::to_string(Percentile(99)) + ", max us " +
+      std::to_string(Percentile(100));
+  for (const std::string& fault : faults) {
+    text += "\n  " + fault;
+  }
+  return text;
+}
+
+class Traffic::Impl {
+ public:
+  explicit Impl(TrafficOptions options)
+      : m_options(std::move(options)), m_start(Clock::now()) {
+    for (int i = 0; i < m_options.connections; ++i) {
+      const std::string& address =
+          m_options.addresses[i % m_options.addresses.size()];
+      asio::co_spawn(m_context, Run(ParseAddress(address)),
+                     [this](const std::exception_ptr& error) {
+                       if (error != nullptr) {
+                         m_error = error;
+                       }
+                     });
+    }
+    m_thread = std::thread([this] { m_context.run(); });
+  }
+
+  ~Impl() {
+    m_context.stop();
+    Join();
+  }
+
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  std::uint64_t right() const { return m_right; }
+  void Stop() { m_stopped = true; }
+
+  TrafficReport Finish() {
+    Join();
+    if (m_error != nullptr) {
+      std::rethrow_exception(m_error);
+    }
+    m_report.elapsed = Since(m_start);
+    return std::move(m_report);
+  }
+
+ private:
+  using Stream = std::unique_ptr<beast::tcp_stream>;
+
+  static std::chrono::microseconds Since(Clock::time_point time) {
+    return std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() -
+                                                                 time);
+  }
+
+  void Join() {
+    if (m_thread.joinable()) {
+      m_thread.join();
+    }
+  }
+
+  bool HasMore() const {
+    return !m_stopped &&
+           (m_options.requests == 0 || m_report.sent < m_options.requests);
+  }
+
+  asio::awaitable<void> Run(tcp::endpoint endpoint) {
+    asio::steady_timer timer(m_context);
+    Stream stream;
+    beast::flat_buffer buffer;
+    while (HasMore()) {
+      if (stream == nullptr) {
+        stream = co_await Connect(endpoint);
+      }
+      if (stream == nullptr) {
+        timer.expires_after(kReconnectPause);
+        co_await timer.async_wait(asio::use_awaitable);
+        continue;
+      }
+      if (!co_await Exchange(*stream, buffer)) {
+        stream.reset();
+        buffer.clear();
+      }
+      if (m_options.pause.count() > 0) {
+        timer.expires_after(m_options.pause);
+        co_await timer.async_wait(asio::use_awaitable);
+      }
+    }
+  }
+
+  asio::awaitable<Stream> Connect(tcp::endpoint endpoint) {
+    auto stream = std::make_unique<beast::tcp_stream>(m_context);
+    error_code failure;
+    stream->expires_after(m_options.patience);
+    co_await stream->async_connect(
+        endpoint, asio::redirect_error(asio::use_awaitable, failure));
+    if (failure) {
+      co_return nullptr;
+    }
+    stream->socket().set_option(tcp::no_delay(true), failure);
+    co_return stream;
+  }
+
+  // Returns whether the connection can be used again.
+  asio::awaitable<bool> Exchange(beast::tcp_stream& stream,
+                                 beast::flat_buffer& buffer) {
+    const TrafficRequest request = m_options.make(m_report.sent++);
+    auto message = ToRequest(request.call);
+    message.set(beast::string_view(kRequestIdHeader), request.id);
+    if (request.reply_bytes > 0) {
+      message.set(beast::string_view(standin::kReplyBytesHeader),
+                  std::to_string(request.reply_bytes));
+    }
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(kBodyLimit);
+    error_code failure;
+    const auto sent = Clock::now();
+    stream.expires_after(m_options.patience);
+    co_await http::async_write(
+        stream, message, asio::redirect_error(asio::use_awaitable, failure));
+    if (!failure) {
+      co_await http::async_read(
+          stream, buffer, parser,
+          asio::redirect_error(asio::use_awaitable, failure));
+    }
+    if (failure) {
+      ++m_report.lost;
+      NoteFault(request, "no whole answer: " + failure.message());
+      co_return false;
+    }
+    const bool keep_alive = parser.get().keep_alive();
+    Judge(request, ToReply(parser.release()), sent);
+    co_return keep_alive;
+  }
+
+  void Judge(const TrafficRequest& request,
+             const HttpReply& reply,
+             Clock::time_point sent) {
+    static const std::string kVerdictName = LowerCaseName(kVerdictHeader);
+    const std::string verdict = reply.Header(kVerdictName);
+    if (verdict.empty() && IsRightAnswer(request, reply)) {
+      NoteRight(request, reply, sent);
+      return;
+    }
+    NoteFault(request, std::to_string(reply.status) + " " + verdict + " " +
+                           reply.body.substr(0, kQuotedBytes));
+    if (verdict == ToString(Verdict::kNotRun)) {
+      ++m_report.not_run;
+      m_report.ended_not_run.push_back(request.id);
+    } else if (verdict == ToString(Verdict::kMayHaveRun)) {
+      ++m_report.may_have_run;
+    } else {
+      ++m_report.wrong;
+    }
+  }
+
+  void NoteRight(const TrafficRequest& request,
+                 const HttpReply& reply,
+                 Clock::time_point sent) {
+    static const std::string kTargetName =
+        LowerCaseName(standin::kTargetIdHeader);
+    ++m_right;
+    ++m_report.right;
+    m_report.ended_right.emplace(request.id, reply.Header(kTargetName));
+    m_report.latencies_us.push_back(
+        static_cast<std::uint32_t>(Since(sent).count()));
+    if (request.key.empty()) {
+      return;
+    }
+    const auto now = Clock::now();
+    const auto [last, is_first] = m_last_right.emplace(request.key, m_start);
+    auto& gap = m_report.longest_gap[request.key];
+    gap = std::max(gap, Since(last->second));
+    last->second = now;
+  }
+
+  void NoteFault(const TrafficRequest& request, const std::string& what) {
+    if (m_report.faults.size() < kFaultLimit) {
+      m_report.faults.push_back(request.id + ": " + what);
+    }
+  }
+
+  TrafficOptions m_options;
+  asio::io_context m_context{1};
+  TrafficReport m_report;
+  std::map<std::string, Clock::time_point> m_last_right;
+  std::exception_ptr m_error;
+  Clock::time_point m_start;
+  std::atomic<std::uint64_t> m_right = 0;
+  std::atomic<bool> m_stopped = false;
+  std::thread m_thread;
+};
+
+Traffic::Traffic(TrafficOptions options)
+    : m_impl(std::make_unique<Impl>(std::move(options))) {}
+
+Traffic::~Traffic() = default;
+
+std::uint64_t Traffic::right() const {
+  return m_impl->right();
+}
+
+void Traffic::Stop() {
+  m_impl->Stop();
+}
+
+TrafficReport Traffic::Finish() {
+  return m_impl->Finish();
+}
+
+}  // namespace snipehall::test
