--- /dev/null
+++ b/tests/process/support/history.cc
@@ -0,0 +1,179 @@
+#include "process/support/history.h"
+
+#include <algorithm>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <fstream>
+#include <map>
+#include <tuple>
+#include <unordered_map>
+#include <utility>
+
+#include "state/hash_range.h"
+
+namespace snipehall::test {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::size_t kQuotedViolations = 10;
+
+std::string Text(const json::object& object, std::string_view name) {
+  return std::string(object.at(name).as_string());
+}
+
+ExecutedRequest ParseLine(const json::object& line) {
+  ExecutedRequest request;
+  request.target = Text(line, "target");
+  request.incarnation = Text(line, "incarnation");
+  request.id = Text(line, "id");
+  request.state = Text(line, "state");
+  request.start_us = line.at("start_us").to_number<std::int64_t>();
+  request.end_us =
+      std::max(request.start_us, line.at("end_us").to_number<std::int64_t>());
+  request.keyed = line.contains("hash");
+  if (request.keyed) {
+    request.hash = ParseHex(Text(line, "hash")).value();
+    request.token = ParseHex(Text(line, "token")).value();
+  }
+  return request;
+}
+
+// Adds the executions of one file. The line of an end replaces the line of its
+// start.
+void ReadFile(const std::string& path, std::vector<ExecutedRequest>& history) {
+  std::ifstream file(path);
+  std::map<std::tuple<std::string, std::string, std::int64_t>, std::size_t>
+      running;
+  std::string text;
+  while (std::getline(file, text)) {
+    boost::system::error_code failure;
+    const json::value line = json::parse(text, failure);
+    if (failure && file.eof()) {
+      return;
+    }
+    Require(!failure, path + " holds a malformed line");
+    ExecutedRequest request = ParseLine(line.as_object());
+    const std::tuple key(request.incarnation, request.id, request.start_us);
+    const auto start = running.find(key);
+    if (start != running.end()) {
+      history[start->second] = std::move(request);
+      running.erase(start);
+    } else {
+      running.emplace(key, history.size());
+      history.push_back(std::move(request));
+    }
+  }
+}
+
+std::string Describe(const ExecutedRequest& request) {
+  return request.id + " at " + request.target + " (incarnation " +
+         request.incarnation + ", hash " + ToHex(request.hash) + ", token " +
+         std::to_string(request.token) + ", " +
+         std::to_string(request.start_us) + " to " +
+         std::to_string(request.end_us) + " us)";
+}
+
+bool HaveSameOwner(const ExecutedRequest& left, const ExecutedRequest& right) {
+  return left.target == right.target && left.incarnation == right.incarnation;
+}
+
+// Finds what is wrong when `later` follows `earlier` on the same hash, where
+// `earlier` is the execution that ends last of those that started before.
+void CheckPair(const ExecutedRequest& earlier,
+               const ExecutedRequest& later,
+               std::vector<std::string>& violations) {
+  const std::string pair = Describe(earlier) + " and " + Describe(later);
+  if (!HaveSameOwner(earlier, later) && later.start_us < earlier.end_us) {
+    violations.push_back("two owners at a time: " + pair);
+  }
+  if (later.token < earlier.token) {
+    violations.push_back("an earlier token after a later one: " + pair);
+  }
+  if (later.token == earlier.token && later.target != earlier.target) {
+    violations.push_back("one token at two targets: " + pair);
+  }
+}
+
+}  // namespace
+
+std::vector<ExecutedRequest> ReadHistory(std::span<const std::string> files) {
+  std::vector<ExecutedRequest> history;
+  for (const std::string& file : files) {
+    ReadFile(file, history);
+  }
+  return history;
+}
+
+std::vector<std::string> CheckOwners(std::vector<ExecutedRequest> history) {
+  std::sort(history.begin(), history.end(),
+            [](const ExecutedRequest& left, const ExecutedRequest& right) {
+              return left.start_us < right.start_us;
+            });
+  std::vector<std::string> violations;
+  // By hash: the execution before, and the one that ends last so far.
+  struct Last {
+    const ExecutedRequest* before = nullptr;
+    const ExecutedRequest* latest_end = nullptr;
+  };
+  std::unordered_map<std::uint64_t, Last> last_by_hash;
+  for (const ExecutedRequest& request : history) {
+    if (!request.keyed || !request.HadEffect()) {
+      continue;
+    }
+    Last& last = last_by_hash[request.hash];
+    if (last.before != nullptr) {
+      CheckPair(*last.before, request, violations);
+      if (last.latest_end != last.before) {
+        CheckPair(*last.latest_end, request, violations);
+      }
+    }
+    last.before = &request;
+    if (last.latest_end == nullptr ||
+        last.latest_end->end_us <= request.end_us) {
+      last.latest_end = &request;
+    }
+  }
+  return violations;
+}
+
+std::vector<std::string> CheckOutcomes(std::span<const ExecutedRequest> history,
+                                       const TrafficReport& report,
+                                       bool repeatable) {
+  std::unordered_map<std::string, int> runs;
+  std::vector<std::string> violations;
+  for (const ExecutedRequest& request : history) {
+    if (!request.HadEffect()) {
+      continue;
+    }
+    if (++runs[request.id] == 2 && !repeatable) {
+      violations.push_back("ran more than once: " + Describe(request));
+    }
+  }
+  for (const auto& [id, target] : report.ended_right) {
+    if (!runs.contains(id)) {
+      violations.push_back("answered by " + target + " but never ran: " + id);
+    }
+  }
+  for (const std::string& id : report.ended_not_run) {
+    if (runs.contains(id)) {
+      violations.push_back("refused as not run, but ran: " + id);
+    }
+  }
+  return violations;
+}
+
+void RequireNone(std::span<const std::string> violations) {
+  if (violations.empty()) {
+    return;
+  }
+  std::string text = std::to_string(violations.size()) + " violations";
+  for (std::size_t i = 0; i < std::min(violations.size(), kQuotedViolations);
+       ++i) {
+    text += "\n  " + violations[i];
+  }
+  throw TestFailure(text);
+}
+
+}  // namespace snipehall::test
