--- a/src/transport/admin_service.h
+++ b/src/transport/admin_service.h
@@ -29,6 +29,9 @@
   // Address of the listener, with the port that was chosen.
   std::string admin_address() const;
 
+  // From now on `/readyz` answers that the instance is not ready.
+  void BeginShutdown();
+
  private:
   class Impl;
 
