--- a/src/protocol/json_fields.cc
+++ b/src/protocol/json_fields.cc
@@ -11,30 +11,7 @@
 
 namespace snipehall {
 
-namespace {
-
-// Longest excerpt of a refused value that an error quotes, in bytes.
-constexpr std::size_t kQuotedBytes = 80;
-
-std::string Quote(const boost::json::value& value) {
-  std::string text = boost::json::serialize(value);
-  if (text.size() > kQuotedBytes) {
-    text.resize(kQuotedBytes);
-    text += "...";
-  }
-  return text;
-}
-
-}  // namespace
-
-Result<boost::json::value> ParseJson(std::string_view text) {
-  boost::system::error_code failure;
-  boost::json::value value = boost::json::parse(text, failure);
-  if (failure) {
-    return Fail(ErrorCode::kCorrupt, "malformed JSON: " + failure.message());
-  }
-  return value;
-}
+namespace {}  // namespace
 
 JsonFields::JsonFields(const boost::json::value& value,
                        std::string pointer,
@@ -44,7 +21,7 @@
       m_error(error) {
   if (m_object == nullptr && !m_error->has_value()) {
     *m_error = Error{ErrorCode::kCorrupt, "expected a JSON object", m_pointer,
-                     Quote(value), "an object"};
+                     DescribeValue(value), "an object"};
   }
 }
 
@@ -103,6 +80,18 @@
   return number;
 }
 
+bool JsonFields::Boolean(std::string_view name) {
+  const boost::json::value* member = Find(name);
+  if (member == nullptr) {
+    return false;
+  }
+  if (!member->is_bool()) {
+    Refuse(name, "true or false");
+    return false;
+  }
+  return member->get_bool();
+}
+
 std::string JsonFields::String(std::string_view name) {
   const boost::json::value* member = Find(name);
   if (member == nullptr) {
@@ -140,15 +129,15 @@
 }
 
 const boost::json::array& JsonFields::Array(std::string_view name) {
-  static const boost::json::array empty;
+  static const boost::json::array kEmpty;
   const boost::json::value* member = Find(name);
   if (member == nullptr) {
-    return empty;
+    return kEmpty;
   }
   const boost::json::array* array = member->if_array();
   if (array == nullptr) {
     Refuse(name, "an array");
-    return empty;
+    return kEmpty;
   }
   return *array;
 }
@@ -175,7 +164,7 @@
   *m_error = Error{
       ErrorCode::kCorrupt,
       "unexpected value at " + pointer + ", allowed is " + std::string(allowed),
-      pointer, member == nullptr ? std::string() : Quote(*member),
+      pointer, member == nullptr ? std::string() : DescribeValue(*member),
       std::string(allowed)};
 }
 
--- a/src/protocol/record_codec.cc
+++ b/src/protocol/record_codec.cc
@@ -226,7 +226,7 @@
 }
 
 Result<Record> DecodeRecord(std::string_view text) {
-  const Result<json::value> value = ParseJsonDocument(text);
+  const Result<json::value> value = ParseJson(text);
   if (!value) {
     return Fail(ErrorCode::kCorrupt, value.error().message);
   }
@@ -249,7 +249,7 @@
 
 std::vector<Error> ParseConfiguration(std::string_view json,
                                       Configuration& configuration) {
-  const Result<json::value> value = ParseJsonDocument(json);
+  const Result<json::value> value = ParseJson(json);
   if (!value) {
     return {value.error()};
   }
--- a/src/protocol/settings.cc
+++ b/src/protocol/settings.cc
@@ -123,7 +123,7 @@
 
 Result<Settings> ParseSettings(std::string_view json) {
   static const JsonSchema schema(kSettingsSchema);
-  const Result<json::value> document = ParseJsonDocument(json);
+  const Result<json::value> document = ParseJson(json);
   if (!document) {
     return document.error();
   }
