--- a/src/transport/admin/admin_api.cc
+++ b/src/transport/admin/admin_api.cc
@@ -227,7 +227,7 @@
     co_return query ? HandleGet(resource, query.value())
                     : MakeErrorResponse(query.error());
   }
-  const Result<json::value> body = ParseJsonDocument(request.body());
+  const Result<json::value> body = ParseJson(request.body());
   if (!body) {
     co_return MakeErrorResponse(body.error());
   }
