--- a/tests/process/support/cluster.cc
+++ b/tests/process/support/cluster.cc
@@ -22,6 +22,9 @@
 
 constexpr std::chrono::seconds kStartLimit{20};
 constexpr std::chrono::seconds kReadyLimit{30};
+constexpr std::chrono::seconds kProbeLimit{2};
+// Enough keys that each of a few ranges contains one.
+constexpr int kProbeKeys = 32;
 
 std::string ReadFile(const std::string& path) {
   std::ifstream file(path);
@@ -91,6 +94,7 @@
   configuration.tenants = m_options.tenants;
   PublishConfiguration(configuration);
   WaitReady(Clock::now() + kReadyLimit);
+  WaitServed(Clock::now() + kReadyLimit);
 }
 
 InstanceNode& Cluster::instance(std::string_view id) {
@@ -168,6 +172,32 @@
   }
 }
 
+void Cluster::WaitServed(Clock::time_point deadline) {
+  for (const auto& node : m_instances) {
+    HttpClient client(node->caller_address);
+    for (const ServiceSpec& service : m_options.services) {
+      for (int key = 0; key < kProbeKeys; ++key) {
+        std::string last;
+        const bool served = WaitUntil(deadline, [&] {
+          const auto reply = client.Send(
+              {.path = "/probe",
+               .headers = {{"Snipehall-Service", service.config.name},
+                           {"Snipehall-Key", "probe-" + std::to_string(key)},
+                           {"Snipehall-Request-Id",
+                            "probe-" + std::to_string(++m_probes)}}},
+              Clock::now() + kProbeLimit);
+          last = reply.has_value()
+                     ? std::to_string(reply->status) + " " + reply->body
+                     : "no answer";
+          return reply.has_value() && reply->status == 200;
+        });
+        Require(served, node->id + " does not serve " + service.config.name +
+                            ": " + last);
+      }
+    }
+  }
+}
+
 void Cluster::PublishInstances() {
   for (const ZoneName& viewer : m_options.zones) {
     std::vector<PlatformInstance> list;
--- a/tests/process/support/cluster.h
+++ b/tests/process/support/cluster.h
@@ -67,8 +67,8 @@
 // instances, with a configuration in force. The destructor ends all processes.
 class Cluster {
  public:
-  // Starts everything and waits until each instance is ready. Throws when one
-  // is not ready in time.
+  // Starts everything and waits until each instance is ready and each service
+  // is served. Throws when this takes too long.
   explicit Cluster(ClusterOptions options);
 
   Cluster(const Cluster&) = delete;
@@ -98,6 +98,10 @@
   // `deadline` passes first.
   void WaitReady(Clock::time_point deadline);
 
+  // Waits until every running instance gets an answer from a target of each
+  // service, for each of a number of keys. Throws when `deadline` passes first.
+  void WaitServed(Clock::time_point deadline);
+
   // Sends the present list of instances and targets to the instance lists.
   void PublishInstances();
 
@@ -142,6 +146,7 @@
   std::vector<std::unique_ptr<TargetNode>> m_targets;
   std::vector<std::unique_ptr<InstanceNode>> m_instances;
   std::vector<ZoneLink> m_links;
+  std::uint64_t m_probes = 0;
   // By "from>address".
   std::map<std::string, std::string> m_link_addresses;
 };
--- a/tests/process/support/history.cc
+++ b/tests/process/support/history.cc
@@ -153,7 +153,10 @@
   }
   for (const auto& [id, target] : report.ended_right) {
     if (!runs.contains(id)) {
-      violations.push_back("answered by " + target + " but never ran: " + id);
+      violations.push_back(std::string("answered by ")
+                               .append(target)
+                               .append(" but never ran: ")
+                               .append(id));
     }
   }
   for (const std::string& id : report.ended_not_run) {
--- a/tests/process/support/traffic.cc
+++ b/tests/process/support/traffic.cc
@@ -223,8 +223,10 @@
       NoteRight(request, reply, sent);
       return;
     }
-    NoteFault(request, std::to_string(reply.status) + " " + verdict + " " +
-                           reply.body.substr(0, kQuotedBytes));
+    NoteFault(request,
+              std::to_string(reply.status) + " " + verdict + " " +
+                  reply.body.substr(
+                      0, std::min(kQuotedBytes, reply.body.find('\n'))));
     if (verdict == ToString(Verdict::kNotRun)) {
       ++m_report.not_run;
       m_report.ended_not_run.push_back(request.id);
