--- a/src/coordination/lease_ledger.cc
+++ b/src/coordination/lease_ledger.cc
@@ -13,6 +13,28 @@
 constexpr int kFailuresForSilence = 2;
 // Pause before an attempt that follows a failure.
 constexpr Milliseconds kRetryPause{40};
+// Time without an answer after which a query follows, so that one delayed
+// message does not make a target look silent.
+constexpr Milliseconds kAnswerPatience{80};
+// Interval at which a set is sent again. A delayed order of the same set may
+// have replaced it with an earlier, smaller list of ranges.
+constexpr Milliseconds kSetInterval{1000};
+
+// Whether the range set has to be sent, and not only a later deadline.
+bool MustSet(MonotonicTime now,
+             const TargetLease& lease,
+             const LeaseContent& content) {
+  if (lease.set != content.set) {
+    return true;
+  }
+  // A set that another member gave is replaced only by the complete one, since
+  // that member may know of more settled moves.
+  if (!lease.given) {
+    return content.complete;
+  }
+  return lease.given->ranges != content.ranges ||
+         now - lease.given_at >= kSetInterval;
+}
 
 }  // namespace
 
@@ -50,6 +72,7 @@
     lease.given.reset();
     if (answer.accepted && answer.set == ordered->set) {
       lease.given = std::move(ordered);
+      lease.given_at = now;
     }
   }
   if (lease.given && lease.given->set != answer.set) {
@@ -93,8 +116,9 @@
     return LeaseStep::kQuery;
   }
   const auto since_attempt = now - *lease->last_attempt;
-  if (lease->awaiting_answer && since_attempt < m_timing.silence) {
-    return LeaseStep::kNothing;
+  if (lease->awaiting_answer) {
+    return since_attempt >= kAnswerPatience ? LeaseStep::kQuery
+                                            : LeaseStep::kNothing;
   }
   if (lease->failures > 0) {
     return since_attempt >= kRetryPause ? LeaseStep::kQuery
@@ -104,12 +128,7 @@
   if (lease->incarnation == 0 || !may_extend || lease->set > content.set) {
     return interval_over ? LeaseStep::kQuery : LeaseStep::kNothing;
   }
-  // A set that another member gave is replaced only by the complete one, since
-  // that member may know of more settled moves.
-  const bool unknown_set = lease->set == content.set && !lease->given;
-  const bool must_set =
-      lease->set != content.set ||
-      (unknown_set ? content.complete : lease->given->ranges != content.ranges);
+  const bool must_set = MustSet(now, *lease, content);
   if (!must_set && !interval_over) {
     return LeaseStep::kNothing;
   }
