Count progress of long bodies, bound the callers' connections

Cause: a target that took longer than a second to receive an upload counted as frozen, and the number of open connections had no bound.

Change: each piece of body that is passed on counts as progress of the target; at most 16384 connections of callers are open at a time.

--- a/src/transport/data_service.cc
+++ b/src/transport/data_service.cc
@@ -29,6 +29,8 @@
 // Pause after a failed accept, for example when no descriptor is left.
 constexpr Milliseconds kAcceptPause{50};
 constexpr int kBacklog = 4096;
+// Callers' connections open at a time. An idle one costs about 10 KiB.
+constexpr std::size_t kMaxCallers = 16384;
 
 std::uint64_t RandomNumber() {
   std::random_device device;
@@ -100,6 +102,12 @@
  private:
   Task<void> Accept() {
     while (m_acceptor.is_open()) {
+      if (m_context.sessions.size() >= kMaxCallers) {
+        // Further callers wait in the listener's backlog.
+        m_accept_timer.expires_after(kAcceptPause);
+        co_await m_accept_timer.async_wait(kTask);
+        continue;
+      }
       auto [error, socket] = co_await m_acceptor.async_accept(kTask);
       if (!error) {
         StartSession(Socket(std::move(socket)));
--- a/src/transport/request_exchange.cc
+++ b/src/transport/request_exchange.cc
@@ -162,6 +162,7 @@
     }
     error = co_await SendPiece(piece);
     m_request.caller.Consume(piece.consumed);
+    m_on_progress();
     if (error) {
       co_return error;
     }
@@ -320,6 +321,9 @@
     }
     head.clear();
     m_target.Consume(piece.consumed);
+    if (!done) {
+      m_on_progress();
+    }
   }
   co_return ExchangeEnd::kAnswered;
 }
--- a/src/transport/request_exchange.h
+++ b/src/transport/request_exchange.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <boost/beast/http/parser.hpp>
+#include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "transport/active_request.h"
 
@@ -31,10 +33,15 @@
 // request, and streams the answer to the caller.
 class RequestExchange {
  public:
+  // `on_progress` is called for each piece of body that was passed on.
   RequestExchange(ActiveRequest& request,
                   ByteStream& target,
-                  const ForwardedValues& values)
-      : m_request(request), m_target(target), m_values(values) {}
+                  const ForwardedValues& values,
+                  std::function<void()> on_progress)
+      : m_request(request),
+        m_target(target),
+        m_values(values),
+        m_on_progress(std::move(on_progress)) {}
   ~RequestExchange();
 
   RequestExchange(const RequestExchange&) = delete;
@@ -65,6 +72,7 @@
   ActiveRequest& m_request;
   ByteStream& m_target;
   ForwardedValues m_values;
+  std::function<void()> m_on_progress;
   std::optional<AnswerParser> m_parser;
   std::size_t m_sent = 0;
   bool m_sending = false;
--- a/src/transport/request_router.cc
+++ b/src/transport/request_router.cc
@@ -159,7 +159,12 @@
     co_return next;
   }
   if (connected == Next::kProceed) {
-    RequestExchange exchange(m_request, *stream, ValuesFor(choice, now));
+    // A long body that moves does not make its target look frozen.
+    RequestExchange exchange(
+        m_request, *stream, ValuesFor(choice, now),
+        [&chooser, target = choice.target] {
+          chooser.OnProgress(std::chrono::steady_clock::now(), target->id);
+        });
     result = co_await exchange.Run();
   } else if (m_request.interrupted()) {
     result.end = ExchangeEnd::kInterrupted;
--- a/tests/unit/data_verdict_test.cc
+++ b/tests/unit/data_verdict_test.cc
@@ -345,3 +345,41 @@
   cr_assert_eq(statuses[0], 200);
   cr_assert_eq(statuses[1] + statuses[2], 200 + 503);
 }
+
+// Guards against a frozen target that keeps getting requests: it accepts
+// connections, so only its silence shows that it does nothing.
+Test(data_verdict, frozen_target_is_left_out_until_it_answers) {
+  std::promise<void> thaw;
+  const std::shared_future<void> thawed = thaw.get_future().share();
+  FakeTarget frozen([&thawed](RawSocket& connection, const std::string&) {
+    thawed.wait();
+    return connection.Send(kOkAnswer);
+  });
+  FakeTarget target(AnswerOk);
+  DataFixture fixture;
+  fixture.AddService("pay", {frozen.address(), target.address()});
+  fixture.Start();
+  // Requests in parallel reach both targets; those at the frozen one stay.
+  std::vector<RawSocket> stuck;
+  cr_assert(Eventually([&] {
+    stuck.push_back(fixture.Connect());
+    stuck.back().Send(Post("/pay", "x", "Snipehall-Deadline-Ms: 20000\r\n"));
+    return Requests(frozen) > 0;
+  }));
+  // Its silence is noticed after the chooser's stall limit; then it is probed.
+  cr_assert(Eventually([&frozen] {
+    const auto heads = frozen.heads();
+    return std::any_of(heads.begin(), heads.end(), [](const auto& head) {
+      return head.starts_with("GET /health ");
+    });
+  }));
+  for (int i = 0; i < 20; ++i) {
+    cr_assert_eq(fixture.Call(Post("/pay", "x")).status, 200);
+  }
+  thaw.set_value();
+  const std::size_t before = Requests(frozen);
+  cr_assert(Eventually([&] {
+    return fixture.Call(Post("/pay", "x")).status == 200 &&
+           Requests(frozen) > before + 1;
+  }));
+}
