Add the daemon's start and stop, the tool, the changes and the console

Cause: the parts run only in a daemon, and operators need a tool and forms that lead to one validated document. Change: snipehalld starts control, data and admin services, writes the addresses file and stops gracefully on SIGTERM or SIGINT. snipehall checks, publishes, shows and undoes documents, drains targets and finds owners. Edits of a draft are classes with Apply and Undo (coordination/changes); the console replays them from its forms, shows errors beside their fields, differences and history, and publishes with the offset edited from. Pages for operators, and alerting rules. Ruled out: one form around the whole page (Enter would press the first button); braced arguments of co_await (g++ 12 destroys them twice).

--- a/src/apps/snipehall/main.cc
+++ b/src/apps/snipehall/main.cc
@@ -1,7 +1,41 @@
+#include <cstdlib>
+#include <exception>
 #include <iostream>
 
+#include "apps/snipehall/commands.h"
+#include "apps/snipehall/options.h"
+
+namespace snipehall {
+namespace {
+
+ExitCode Main(std::span<char*> command_line) {
+  const Result<ToolOptions> options = ParseToolOptions(command_line);
+  if (!options) {
+    std::cerr << "snipehall: " << options.error().message << '\n'
+              << ToolUsage();
+    return ExitCode::kWrongUsage;
+  }
+  if (options.value().help) {
+    std::cout << ToolUsage();
+    return ExitCode::kDone;
+  }
+  if (options.value().version) {
+    std::cout << "snipehall " << SNIPEHALL_VERSION << '\n';
+    return ExitCode::kDone;
+  }
+  return RunCommand(options.value());
+}
+
+}  // namespace
+}  // namespace snipehall
+
 // Entry point of the command-line tool.
-int main() {
-  std::cout << "snipehall " << SNIPEHALL_VERSION << '\n';
-  return 0;
+int main(int argc, char** argv) {
+  try {
+    return static_cast<int>(
+        snipehall::Main({argv, static_cast<std::size_t>(argc)}));
+  } catch (const std::exception& error) {
+    std::cerr << "snipehall: " << error.what() << '\n';
+    return EXIT_FAILURE;
+  }
 }
--- /dev/null
+++ b/src/coordination/changes/add_key_range.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "coordination/changes/configuration_change.h"
+
+namespace snipehall {
+
+// Gives a range of a keyed service's hash space to a zone. Ranges that it
+// overlaps are cut, so that a cover without gap stays one.
+class AddKeyRange : public ConfigurationChange {
+ public:
+  AddKeyRange(ServiceName service, KeyRangeConfig range)
+      : m_service(std::move(service)), m_range(std::move(range)) {}
+
+  Result<void> Apply(Configuration& draft) override;
+  void Undo(Configuration& draft) override;
+  std::string Describe() const override;
+
+ private:
+  ServiceName m_service;
+  KeyRangeConfig m_range;
+  // The service's ranges before the change.
+  std::vector<KeyRangeConfig> m_before;
+};
+
+}  // namespace snipehall
--- /dev/null
+++ b/src/coordination/changes/draft.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <memory>
+#include <vector>
+
+#include "coordination/changes/configuration_change.h"
+
+namespace snipehall {
+
+// A document that is being edited, with its changes. It may be invalid.
+class Draft {
+ public:
+  explicit Draft(Configuration base) : m_configuration(std::move(base)) {}
+
+  // Applies the change and keeps it, or fails and leaves the draft as it was.
+  Result<void> Do(std::unique_ptr<ConfigurationChange> change);
+
+  // Undoes the last change. Does nothing when there is none.
+  void UndoLast();
+
+  const Configuration& configuration() const { return m_configuration; }
+  // In the order of application.
+  const std::vector<std::unique_ptr<ConfigurationChange>>& changes() const {
+    return m_changes;
+  }
+
+ private:
+  Configuration m_configuration;
+  std::vector<std::unique_ptr<ConfigurationChange>> m_changes;
+};
+
+}  // namespace snipehall
--- /dev/null
+++ b/src/coordination/changes/remove_plan.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "coordination/changes/configuration_change.h"
+
+namespace snipehall {
+
+// Removes a target's plan, so that the target gets work again.
+class RemovePlan : public ConfigurationChange {
+ public:
+  explicit RemovePlan(TargetId target) : m_target(std::move(target)) {}
+
+  Result<void> Apply(Configuration& draft) override;
+  void Undo(Configuration& draft) override;
+  std::string Describe() const override;
+
+ private:
+  TargetId m_target;
+  PlanConfig m_removed;
+  // Index that the plan had.
+  std::ptrdiff_t m_index = 0;
+};
+
+}  // namespace snipehall
--- a/src/transport/admin/admin_api.cc
+++ b/src/transport/admin/admin_api.cc
@@ -8,6 +8,7 @@
 #include "protocol/configuration_codec.h"
 #include "protocol/error_json.h"
 #include "protocol/json_schema.h"
+#include "protocol/json_text.h"
 
 namespace snipehall {
 
@@ -227,7 +228,7 @@
     co_return query ? HandleGet(resource, query.value())
                     : MakeErrorResponse(query.error());
   }
-  const Result<json::value> body = ParseJsonDocument(request.body());
+  const Result<json::value> body = ParseJson(request.body());
   if (!body) {
     co_return MakeErrorResponse(body.error());
   }
--- /dev/null
+++ b/tests/unit/changes_test.cc
@@ -0,0 +1,199 @@
+#include <rapidcheck.h>
+
+#include "coordination/changes/add_class.h"
+#include "coordination/changes/add_key_range.h"
+#include "coordination/changes/add_plan.h"
+#include "coordination/changes/add_service.h"
+#include "coordination/changes/add_zone.h"
+#include "coordination/changes/draft.h"
+#include "coordination/changes/remove_plan.h"
+#include "coordination/changes/set_limit.h"
+#include "coordination/changes/split_key_range.h"
+#include "support/configuration_generator.h"
+
+#include <criterion/criterion.h>
+
+namespace snipehall {
+namespace {
+
+// Draws the name of an entry, or a name that may be unknown.
+template <typename T>
+std::string DrawNameOf(const std::vector<T>& entries) {
+  if (entries.empty() || *rc::gen::inRange(0, 5) == 0) {
+    return testing::DrawName(*rc::gen::inRange<std::size_t>(0, 5));
+  }
+  return entries[*rc::gen::inRange<std::size_t>(0, entries.size())].name;
+}
+
+std::uint64_t DrawHash() {
+  return *rc::gen::inRange<std::uint64_t>(0, UINT64_MAX);
+}
+
+SetLimit::Place DrawPlace(const Configuration& draft) {
+  if (*rc::gen::arbitrary<bool>()) {
+    return {"", "", DrawNameOf(draft.tenants)};
+  }
+  SetLimit::Place place{DrawNameOf(draft.services), "", ""};
+  const ServiceConfig* service = draft.FindService(place.service);
+  if (service != nullptr && *rc::gen::arbitrary<bool>()) {
+    place.class_name = DrawNameOf(service->classes);
+  }
+  return place;
+}
+
+std::unique_ptr<ConfigurationChange> DrawChange(const Configuration& draft) {
+  const std::string service = DrawNameOf(draft.services);
+  const std::string zone = DrawNameOf(draft.zones);
+  const std::size_t index = *rc::gen::inRange<std::size_t>(0, 9);
+  switch (*rc::gen::inRange(0, 8)) {
+    case 0:
+      return std::make_unique<AddZone>(
+          ZoneConfig{testing::DrawName(index), "r"});
+    case 1:
+      return std::make_unique<AddService>(
+          testing::DrawService(index, draft.zones));
+    case 2:
+      return std::make_unique<AddClass>(service,
+                                        ClassConfig{testing::DrawName(index)});
+    case 3: {
+      const std::uint64_t first = DrawHash();
+      const std::uint64_t last = *rc::gen::element(first, UINT64_MAX);
+      return std::make_unique<AddKeyRange>(service,
+                                           KeyRangeConfig{{first, last}, zone});
+    }
+    case 4:
+      return std::make_unique<SplitKeyRange>(service, DrawHash(), zone);
+    case 5:
+      return std::make_unique<AddPlan>(
+          PlanConfig{PlanKind::kDrain, testing::DrawName(index)});
+    case 6:
+      return std::make_unique<RemovePlan>(
+          draft.plans.empty() ? "none" : draft.plans.front().target);
+    default:
+      return std::make_unique<SetLimit>(
+          DrawPlace(draft),
+          *rc::gen::element<std::string>(
+              "slots_per_endpoint", "connections_per_endpoint", "move_after_s",
+              "default_deadline_ms", "reserved_slots_percent", "queue_limit",
+              "weight"),
+          *rc::gen::inRange(0, 200));
+  }
+}
+
+// A draft with the zones a and b and one keyed service.
+Configuration MakeDraft() {
+  Configuration draft;
+  draft.zones = {{"a", "r"}, {"b", "r"}};
+  ServiceConfig service;
+  service.name = "gearshelf";
+  service.keyed = true;
+  service.default_class = "lookup";
+  service.classes = {{"lookup"}};
+  service.key_ranges = EqualKeyRanges(draft.zones);
+  draft.services = {service};
+  return draft;
+}
+
+void ExpectRefused(ConfigurationChange&& change, const char* pointer) {
+  Configuration draft = MakeDraft();
+  const Result<void> applied = change.Apply(draft);
+  cr_assert_not(applied.has_value(), "applied: %s", change.Describe().c_str());
+  cr_assert_str_eq(applied.error().pointer.c_str(), pointer);
+  cr_assert(draft == MakeDraft());
+}
+
+}  // namespace
+
+// Guards against an undo that does not restore the draft, and against a
+// refused change that changes it.
+Test(changes, undoing_all_changes_restores_the_draft) {
+  cr_assert(rc::check("undo restores", [] {
+    const Configuration base = testing::DrawConfiguration();
+    Draft draft(base);
+    std::vector<Configuration> steps;
+    for (int i = 0; i < 12; ++i) {
+      const Configuration before = draft.configuration();
+      if (draft.Do(DrawChange(before))) {
+        steps.push_back(before);
+      } else {
+        RC_ASSERT(draft.configuration() == before);
+      }
+    }
+    RC_ASSERT(draft.changes().size() == steps.size());
+    for (; !steps.empty(); steps.pop_back()) {
+      draft.UndoLast();
+      RC_ASSERT(draft.configuration() == steps.back());
+    }
+    draft.UndoLast();
+    RC_ASSERT(draft.configuration() == base);
+  }));
+}
+
+// Guards against edits of key ranges that leave gaps or overlaps.
+Test(changes, key_range_edits_keep_the_document_valid) {
+  cr_assert(rc::check("ranges stay a cover", [] {
+    Draft draft(MakeDraft());
+    for (int i = 0; i < 8; ++i) {
+      const std::string zone = *rc::gen::element<std::string>("a", "b");
+      const std::uint64_t first = DrawHash();
+      const std::uint64_t last =
+          *rc::gen::inRange<std::uint64_t>(first, UINT64_MAX);
+      if (*rc::gen::arbitrary<bool>()) {
+        RC_ASSERT(draft
+                      .Do(std::make_unique<AddKeyRange>(
+                          "gearshelf", KeyRangeConfig{{first, last}, zone}))
+                      .has_value());
+      } else {
+        (void)draft.Do(
+            std::make_unique<SplitKeyRange>("gearshelf", first, zone));
+      }
+      RC_ASSERT(ValidateConfiguration(draft.configuration()).empty());
+    }
+  }));
+}
+
+// Guards against a range that is cut at the wrong hash.
+Test(changes, added_range_cuts_its_neighbours) {
+  Configuration draft = MakeDraft();
+  constexpr std::uint64_t kHalf = 0x8000000000000000;
+  cr_assert(AddKeyRange("gearshelf", {{kHalf - 1, kHalf}, "b"}).Apply(draft));
+  const auto& ranges = draft.services[0].key_ranges;
+  cr_assert_eq(ranges.size(), 3U);
+  cr_assert(ranges[0] == (KeyRangeConfig{{0, kHalf - 2}, "a"}));
+  cr_assert(ranges[2] == (KeyRangeConfig{{kHalf + 1, UINT64_MAX}, "b"}));
+  cr_assert(SplitKeyRange("gearshelf", 16, "b").Apply(draft));
+  cr_assert(ranges[0] == (KeyRangeConfig{{0, 15}, "a"}));
+  cr_assert(ranges[1] == (KeyRangeConfig{{16, kHalf - 2}, "b"}));
+}
+
+// Guards against edits of entries that do not exist, or that exist already.
+Test(changes, impossible_changes_are_refused) {
+  ExpectRefused(AddZone({"a", "r"}), "/name");
+  ExpectRefused(AddService(MakeDraft().services[0]), "/name");
+  ExpectRefused(AddClass("gearshelf", {"lookup"}), "/name");
+  ExpectRefused(AddClass("other", {"photo"}), "/service");
+  ExpectRefused(AddKeyRange("other", {{0, 1}, "a"}), "/service");
+  ExpectRefused(AddKeyRange("gearshelf", {{0, 1}, "c"}), "/zone");
+  ExpectRefused(AddKeyRange("gearshelf", {{1, 0}, "a"}), "/last");
+  ExpectRefused(SplitKeyRange("gearshelf", 0, "a"), "/at");
+  ExpectRefused(SplitKeyRange("gearshelf", 1, "c"), "/zone");
+  ExpectRefused(RemovePlan("gearshelf-1"), "/target");
+  ExpectRefused(SetLimit({"other", "", ""}, "weight", 1), "/service");
+  ExpectRefused(SetLimit({"gearshelf", "x", ""}, "queue_limit", 1), "/class");
+  ExpectRefused(SetLimit({"gearshelf", "", ""}, "queue_limit", 1), "/limit");
+  ExpectRefused(SetLimit({"", "", "shop"}, "queue_limit", 1), "/limit");
+}
+
+// Guards against a limit that is set at another place than the named one.
+Test(changes, limits_are_set_at_their_place) {
+  Configuration draft = MakeDraft();
+  cr_assert(SetLimit({"gearshelf", "", ""}, "move_after_s", 30).Apply(draft));
+  cr_assert(
+      SetLimit({"gearshelf", "lookup", ""}, "queue_limit", 7).Apply(draft));
+  cr_assert(SetLimit({"", "", "shop"}, "weight", 4).Apply(draft));
+  cr_assert_eq(draft.services[0].move_after->count(), 30000);
+  cr_assert_eq(draft.services[0].classes[0].queue_limit, 7);
+  cr_assert(draft.tenants == (std::vector<TenantConfig>{{"shop", 4}}));
+}
+
+}  // namespace snipehall
