--- a/src/transport/admin/admin_api.cc
+++ b/src/transport/admin/admin_api.cc
@@ -8,6 +8,7 @@
 #include "protocol/configuration_codec.h"
 #include "protocol/error_json.h"
 #include "protocol/json_schema.h"
+#include "protocol/json_text.h"
 
 namespace snipehall {
 
