Fix a dangling reference in the peer listener

Cause: kj's then() stores an lvalue function object by reference, so the removal of a disconnected peer ran on a destroyed lambda. Found by peer_link_test, call_without_a_reply_ends, which crashed. Change: both continuations are temporaries.

--- a/src/transport/peer_server.cc
+++ b/src/transport/peer_server.cc
@@ -111,11 +111,12 @@
   connection->idle_deadline = std::chrono::steady_clock::now() + m_limits.idle;
   // The connection is removed in a later turn of the loop, because the promise
   // that resolves is part of it.
+  // `then` keeps a reference to a function object that it gets by reference.
   const auto remove = [this, id] {
     m_tasks.add(kj::evalLater([this, id] { Remove(id); }));
   };
   m_tasks.add(connection->network.onDisconnect().then(
-      remove, [remove](kj::Exception&&) { remove(); }));
+      [remove] { remove(); }, [remove](kj::Exception&&) { remove(); }));
   m_connections.emplace(id, kj::mv(connection));
 }
 
