Route to the new owner of an unchecked service after settlement only

Cause: targets that do not check orders run a request at once, so a router that had read a move sent to the new owner while another one, still confirmed, sent to the former owner. Change: the routing table has no target for a range that is not settled when the service's targets do not check orders; the simulation sends requests to such targets and checks that only one can run a key. Ruled out: a delay in the data thread, which does not know of the settlement.

--- a/src/coordination/controller_impl.cc
+++ b/src/coordination/controller_impl.cc
@@ -129,8 +129,10 @@
     m_leases.RestartWatch(now);
   }
   Refresh(now);
-  m_settlement.Update({m_fold.state(), m_peers, m_leases, now, m_options.self,
-                       IsConfirmedByLog(now)});
+  const bool settled =
+      m_settlement.Update({m_fold.state(), m_peers, m_leases, now,
+                           m_options.self, IsConfirmedByLog(now)});
+  m_table_stale = m_table_stale || settled;
   std::vector<Action> actions;
   SendHeartbeats(now, actions);
   FetchMissing(now, actions);
@@ -215,8 +217,8 @@
     return;
   }
   m_table_stale = false;
-  auto table =
-      BuildRoutingTable(m_fold.state(), m_instances, m_confirmation.started());
+  auto table = BuildRoutingTable(m_fold.state(), m_settlement, m_instances,
+                                 m_confirmation.started());
   if (*table != *m_table) {
     m_table = std::move(table);
   }
--- a/src/coordination/move_settlement.cc
+++ b/src/coordination/move_settlement.cc
@@ -161,11 +161,12 @@
   m_members_known[std::string(group)] = now;
 }
 
-void MoveSettlement::Update(const SettlementView& view) {
+bool MoveSettlement::Update(const SettlementView& view) {
   const ConfigurationEntry* configuration = view.state.configuration();
   if (configuration == nullptr) {
-    return;
+    return false;
   }
+  std::size_t settled = 0;
   for (auto& [name, moves] : m_moves) {
     const ServiceConfig* service =
         configuration->configuration.FindService(name);
@@ -173,11 +174,12 @@
     if (service == nullptr || assignment == nullptr) {
       continue;
     }
-    std::erase_if(moves, [&](PendingMove& move) {
+    settled += std::erase_if(moves, [&](PendingMove& move) {
       return IsMoveSettled(view, *service, GroupsOf(*assignment, move.range),
                            move);
     });
   }
+  return settled > 0;
 }
 
 std::vector<LeasedRange> MoveSettlement::Settled(
--- a/src/coordination/move_settlement.h
+++ b/src/coordination/move_settlement.h
@@ -65,10 +65,10 @@
   void OnSnapshot(MonotonicTime now, const ClusterState& state);
   void OnMembers(MonotonicTime now, std::string_view group);
 
-  // Removes the moves that are settled.
-  void Update(const SettlementView& view);
+  // Removes the moves that are settled; returns whether there were any.
+  bool Update(const SettlementView& view);
 
-  // The parts of `owned` that may be granted to its owner.
+  // The parts of `owned` that may be granted to its owner, in order.
   std::vector<LeasedRange> Settled(std::string_view service,
                                    const OwnedRange& owned) const;
   // Former owners whose release would settle a move.
--- a/src/coordination/routing_table_builder.cc
+++ b/src/coordination/routing_table_builder.cc
@@ -8,9 +8,31 @@
 
 namespace {
 
+// Adds the settled parts of a route, and the others without a target.
+void AddSettled(RouteRange route,
+                const std::vector<LeasedRange>& settled,
+                std::vector<RouteRange>& ranges) {
+  const std::uint64_t last = route.range.last;
+  for (const LeasedRange& part : settled) {
+    if (route.range.first < part.range.first) {
+      ranges.push_back({{route.range.first, part.range.first - 1},
+                        route.token,
+                        RouteRange::kNoTarget});
+    }
+    ranges.push_back({part.range, route.token, route.target});
+    if (part.range.last == last) {
+      return;
+    }
+    route.range.first = part.range.last + 1;
+  }
+  ranges.push_back(
+      {{route.range.first, last}, route.token, RouteRange::kNoTarget});
+}
+
 ServiceRoutes BuildRoutes(const ServiceConfig& service,
                           const Configuration& configuration,
                           const ServiceAssignment* assignment,
+                          const MoveSettlement& settlement,
                           std::span<const PlatformInstance> instances) {
   ServiceRoutes routes;
   routes.config = service;
@@ -30,9 +52,14 @@
   }
   for (const OwnedRange& owned : assignment->ranges) {
     const auto index = indexes.find(owned.owner);
-    routes.ranges.push_back(
-        {owned.range, owned.token,
-         index == indexes.end() ? RouteRange::kNoTarget : index->second});
+    const RouteRange route{
+        owned.range, owned.token,
+        index == indexes.end() ? RouteRange::kNoTarget : index->second};
+    if (service.checks_orders) {
+      routes.ranges.push_back(route);
+    } else {
+      AddSettled(route, settlement.Settled(service.name, owned), routes.ranges);
+    }
   }
   return routes;
 }
@@ -41,6 +68,7 @@
 
 std::shared_ptr<const RoutingTable> BuildRoutingTable(
     const ClusterState& state,
+    const MoveSettlement& settlement,
     std::span<const PlatformInstance> instances,
     bool ready) {
   auto table = std::make_shared<RoutingTable>();
@@ -59,7 +87,7 @@
   for (const ServiceConfig& service : entry->configuration.services) {
     table->services[service.name] =
         BuildRoutes(service, entry->configuration,
-                    state.FindAssignment(service.name), instances);
+                    state.FindAssignment(service.name), settlement, instances);
   }
   return table;
 }
--- a/tests/unit/controller_parts_test.cc
+++ b/tests/unit/controller_parts_test.cc
@@ -27,7 +27,8 @@
 }
 
 LogEntry Group(LogOffset offset, const char* group, Members members) {
-  return {offset, Record{group, "", 0, MembersRecord{group, members}}};
+  return {offset,
+          Record{group, "", 0, MembersRecord{group, std::move(members)}}};
 }
 
 ClusterState StateOf(const std::vector<LogEntry>& entries) {
--- a/tests/unit/ownership_property_test.cc
+++ b/tests/unit/ownership_property_test.cc
@@ -202,6 +202,7 @@
     options.move_after = *rc::gen::element<std::optional<Milliseconds>>(
         std::nullopt, Milliseconds(1000));
     options.omitted = omitted;
+    options.checks_orders = *rc::gen::element(true, true, false);
     const std::vector<Fault> faults = *GenFaults();
     const Outcome outcome = RunFaults(options, faults);
     steps += outcome.steps;
--- a/tests/unit/ownership_world.h
+++ b/tests/unit/ownership_world.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -21,6 +22,8 @@
 using Time = std::int64_t;
 constexpr Time kMs = 1000;
 constexpr Time kSecond = 1000 * kMs;
+// Longest time for which a request runs: the default deadline of its class.
+constexpr Time kRequestTime = kSecond;
 
 struct WorldOptions {
   std::uint64_t seed = 1;
@@ -28,6 +31,7 @@
   int targets_per_zone = 3;
   std::optional<Milliseconds> move_after = std::nullopt;
   OmittedSteps omitted = {};
+  bool checks_orders = true;
 };
 
 // Controllers, targets that arbitrate their own leases, and a log, in virtual
@@ -237,6 +241,7 @@
     service.name = "s";
     service.keyed = true;
     service.move_after = m_options.move_after;
+    service.checks_orders = m_options.checks_orders;
     service.default_class = "c";
     service.classes = {ClassConfig{"c"}};
     service.key_ranges = {{{0, kHalf}, "z1"}, {{kHalf + 1, UINT64_MAX}, "z2"}};
@@ -319,6 +324,9 @@
       std::visit([&](const auto& a) { Perform(i, clock, a); }, action);
     }
     CheckState(i);
+    if (!m_options.checks_orders) {
+      SendRequests(i);
+    }
     Deliver(i, m_now + Uniform(15, 20) * kMs, [this, i] { Tick(i); });
   }
 
@@ -496,6 +504,31 @@
       }
     }
   }
+  // Sends requests for some hashes to targets that do not check orders. A
+  // request may run until its deadline, and only one target may run requests
+  // for a hash.
+  void SendRequests(std::size_t i) {
+    const Controller& controller = *m_instances[i].controller;
+    const auto* routes = controller.routing_table()->FindService("s");
+    if (routes == nullptr ||
+        Clock(m_nodes[i]) >= controller.confirmed_until()) {
+      return;
+    }
+    for (std::size_t h = 0; h < m_run_until.size(); ++h) {
+      const RouteRange* route = routes->Find(h * (UINT64_MAX / 16));
+      if (route == nullptr || route->target == RouteRange::kNoTarget) {
+        continue;
+      }
+      const TargetId& target = routes->targets[route->target].id;
+      for (const auto& [other, until] : m_run_until[h]) {
+        if (other != target && until > m_now) {
+          Report(m_nodes[i].id + " sends to " + target + " while " + other +
+                 " may run requests of the same key");
+        }
+      }
+      m_run_until[h][target] = m_now + kRequestTime;
+    }
+  }
   void CheckState(std::size_t i) {
     Instance& instance = m_instances[i];
     const ClusterState& state = instance.controller->state();
@@ -528,6 +561,8 @@
   // State after each offset, from 0.
   std::vector<ClusterState> m_history;
   std::vector<std::string> m_violations;
+  // For some hashes, until when requests may run at a target.
+  std::array<std::map<TargetId, Time>, 16> m_run_until;
 };
 
 }  // namespace snipehall::test
