--- a/tests/unit/ownership_world.h
+++ b/tests/unit/ownership_world.h
@@ -10,6 +10,7 @@
 #include <queue>
 #include <random>
 #include <string>
+#include <string_view>
 #include <type_traits>
 #include <utility>
 #include <vector>
@@ -522,8 +523,10 @@
       const TargetId& target = routes->targets[route->target].id;
       for (const auto& [other, until] : m_run_until[h]) {
         if (other != target && until > m_now) {
-          Report(m_nodes[i].id + " sends to " + target + " while " + other +
-                 " may run requests of the same key");
+          std::string violation = m_nodes[i].id;
+          violation.append(" sends to ").append(target);
+          violation.append(" while requests may run at ").append(other);
+          Report(violation);
         }
       }
       m_run_until[h][target] = m_now + kRequestTime;
@@ -542,9 +545,10 @@
     }
     instance.configuration = configuration;
   }
-  void Report(std::string violation) {
-    m_violations.push_back(std::to_string(m_now / kMs) +
-                           " ms: " + std::move(violation));
+  void Report(std::string_view violation) {
+    std::string line = std::to_string(m_now / kMs);
+    line.append(" ms: ").append(violation);
+    m_violations.push_back(std::move(line));
   }
 
   WorldOptions m_options;
