--- a/tests/unit/data_hostile_test.cc
+++ b/tests/unit/data_hostile_test.cc
@@ -5,10 +5,14 @@
 using namespace snipehall;        // NOLINT(google-build-using-namespace)
 using namespace snipehall::test;  // NOLINT(google-build-using-namespace)
 
-using std::string_literals::operator""s;
-
 namespace {
 
+// Text that may contain NUL bytes.
+template <std::size_t size>
+std::string Bytes(const char (&text)[size]) {
+  return {text, size - 1};
+}
+
 bool AnswerOk(RawSocket& connection, const std::string& head) {
   connection.ReadExactly(
       std::strtoul(HeaderOf(head, "Content-Length").c_str(), nullptr, 10));
@@ -101,9 +105,9 @@
            std::string("CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n"),
            std::string("BREW /s HTTP/1.1\r\nHost: h\r\n\r\n"),
            std::string("\r\nGET /s HTTP/1.1\r\nHost: h\r\n\r\n"),
-           "GET /s HTTP/1.1\r\nHost: h\r\nX: a\0b\r\n\r\n"s,
-           "GET /\0s HTTP/1.1\r\nHost: h\r\n\r\n"s,
-           "\x16\x03\x01\x02\0\x01\r\n\r\n"s,
+           Bytes("GET /s HTTP/1.1\r\nHost: h\r\nX: a\0b\r\n\r\n"),
+           Bytes("GET /\0s HTTP/1.1\r\nHost: h\r\n\r\n"),
+           Bytes("\x16\x03\x01\x02\0\x01\r\n\r\n"),
            Get("/s", "Expect: the-unexpected\r\n"),
        }) {
     fixture.ExpectRefused(text);
--- a/tests/unit/data_streaming_test.cc
+++ b/tests/unit/data_streaming_test.cc
@@ -44,11 +44,11 @@
 
 // Sends `size` bytes from a static buffer; `sent` counts them.
 bool SendMany(int fd, std::size_t size, std::atomic<std::size_t>& sent) {
-  static const std::array<char, 65536> block_of_zeros = {};
+  static const std::array<char, 65536> kBlockOfZeros = {};
   while (sent < size) {
     const ssize_t count =
-        send(fd, block_of_zeros.data(),
-             std::min(block_of_zeros.size(), size - sent), MSG_NOSIGNAL);
+        send(fd, kBlockOfZeros.data(),
+             std::min(kBlockOfZeros.size(), size - sent), MSG_NOSIGNAL);
     if (count <= 0) {
       return false;
     }
--- a/tests/unit/data_verdict_test.cc
+++ b/tests/unit/data_verdict_test.cc
@@ -7,8 +7,6 @@
 using namespace snipehall;        // NOLINT(google-build-using-namespace)
 using namespace snipehall::test;  // NOLINT(google-build-using-namespace)
 
-using std::string_literals::operator""s;
-
 namespace {
 
 bool AnswerOk(RawSocket& connection, const std::string& /*head*/) {
@@ -294,7 +292,7 @@
   const std::string answers[] = {
       "nonsense\r\n\r\n",
       "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello",
-      "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"s +
+      std::string("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n") +
           "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
       "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
       "HTTP/1.1 200 OK\nContent-Length: 0\n\n",
