Check the owner again before sending to targets that trust orders

Cause: a request for a keyed service whose targets do not check orders was given its owner before the connection was made, and only the confirmation was checked after it. A newer confirmed state passed that check for an old owner. A caller's own deadline could outlast the wait of a move. Change: the owner is looked up again after the connection is made, the confirmation is read before the table and published after it, and the time allowed at such services ends at the longest default deadline. The race itself was found by reading; no test forces it yet. Ruled out: a lock between table and confirmation; the order of the two stores is enough.

--- a/src/coordination/messages.h
+++ b/src/coordination/messages.h
@@ -42,7 +42,7 @@
 struct LeaseOrder {
   TargetId target;
   Incarnation incarnation = 0;
-  // Offset of the record that last changed the target's range set.
+  // Assignment version of the service that `ranges` was made from.
   LogOffset set = 0;
   // End of the lease on the target's own clock, milliseconds.
   std::int64_t deadline_ms = 0;
--- a/src/coordination/move_settlement.cc
+++ b/src/coordination/move_settlement.cc
@@ -92,14 +92,6 @@
   return std::nullopt;
 }
 
-Milliseconds LongestDeadline(const ServiceConfig& service) {
-  Milliseconds longest{0};
-  for (const ClassConfig& entry : service.classes) {
-    longest = std::max(longest, entry.default_deadline);
-  }
-  return longest;
-}
-
 }  // namespace
 
 void MoveSettlement::OnAssignment(MonotonicTime now,
@@ -264,7 +256,7 @@
   }
   const MonotonicTime lapsed = *move.majority_read + LeaseLapseWait(m_timing);
   const std::chrono::nanoseconds in_progress =
-      WithDrift(LongestDeadline(service), m_timing.drift_per_mille);
+      WithDrift(service.longest_deadline(), m_timing.drift_per_mille);
   if (!service.checks_orders) {
     return view.now >= lapsed + in_progress;
   }
@@ -309,7 +301,7 @@
   std::chrono::nanoseconds wait =
       WithDrift(limit, m_timing.drift_per_mille) + LeaseLapseWait(m_timing);
   if (!service.checks_orders) {
-    wait += WithDrift(LongestDeadline(service), m_timing.drift_per_mille);
+    wait += WithDrift(service.longest_deadline(), m_timing.drift_per_mille);
   }
   return view.confirmed_by_log && view.now >= *move.isolation_known + wait;
 }
--- a/src/state/configuration.cc
+++ b/src/state/configuration.cc
@@ -223,6 +223,14 @@
   return FindByName(classes, name);
 }
 
+Milliseconds ServiceConfig::longest_deadline() const {
+  Milliseconds longest{0};
+  for (const ClassConfig& entry : classes) {
+    longest = std::max(longest, entry.default_deadline);
+  }
+  return longest;
+}
+
 const ServiceConfig* Configuration::FindService(std::string_view name) const {
   return FindByName(services, name);
 }
--- a/src/state/configuration.h
+++ b/src/state/configuration.h
@@ -58,6 +58,11 @@
 
   const ClassConfig* FindClass(std::string_view name) const;
 
+  // The greatest default deadline of the classes. A request of a keyed service
+  // whose targets do not check orders is given no more, since a move of its key
+  // waits this long for requests already sent.
+  Milliseconds longest_deadline() const;
+
   bool operator==(const ServiceConfig&) const = default;
 };
 
--- a/src/transport/caller_session.cc
+++ b/src/transport/caller_session.cc
@@ -271,8 +271,12 @@
       m_class_index = static_cast<std::size_t>(found - config.classes.begin());
       // The configuration outlives the request's head.
       context.request_class = found->name;
-      m_request.deadline = m_request.received + context.time_allowed.value_or(
-                                                    found->default_deadline);
+      Milliseconds allowed =
+          context.time_allowed.value_or(found->default_deadline);
+      if (config.keyed && !config.checks_orders) {
+        allowed = std::min(allowed, config.longest_deadline());
+      }
+      m_request.deadline = m_request.received + allowed;
       m_timer->Arm(m_request.deadline);
       GenerateId();
       co_return true;
--- a/src/transport/control_loop.cc
+++ b/src/transport/control_loop.cc
@@ -308,13 +308,15 @@
 }
 
 void ControlLoop::Publish(MonotonicTime now) {
-  const MonotonicTime confirmed_until = m_controller.confirmed_until();
-  m_outputs->confirmed_until.store(confirmed_until.time_since_epoch().count(),
-                                   std::memory_order_release);
   std::shared_ptr<const RoutingTable> table = m_controller.routing_table();
   if (table != m_outputs->routing_table.Load()) {
     m_outputs->routing_table.Store(std::move(table));
   }
+  // After the table: a reader that sees this confirmation then finds the state
+  // that it confirms, or a newer one.
+  const MonotonicTime confirmed_until = m_controller.confirmed_until();
+  m_outputs->confirmed_until.store(confirmed_until.time_since_epoch().count(),
+                                   std::memory_order_release);
   const bool confirmed = confirmed_until > now;
   if (std::exchange(m_confirmed, confirmed) != confirmed) {
     LOG(INFO) << "the state at offset " << m_controller.state().offset()
--- a/src/transport/request_router.cc
+++ b/src/transport/request_router.cc
@@ -151,7 +151,7 @@
   const MonotonicTime now = std::chrono::steady_clock::now();
   const ServiceConfig& config = m_service->config();
   if (connected == Next::kProceed && config.keyed && !config.checks_orders &&
-      !m_context.IsConfirmed(now)) {
+      !IsConfirmedOwner(choice, now)) {
     // The target would run the request even if it no longer owns the key.
     chooser.OnAbandoned(choice.target->id);
     lease.Reuse();
@@ -179,6 +179,18 @@
   co_return next;
 }
 
+bool RequestRouter::IsConfirmedOwner(const Choice& choice, MonotonicTime now) {
+  // In this order: a table is published before the confirmation of its state,
+  // so the one read here is at least as new as the confirmation. The owner may
+  // have changed while the connection was made.
+  if (!m_context.IsConfirmed(now)) {
+    return false;
+  }
+  const Choice current = Choose(now);
+  return current.target != nullptr && current.target->id == choice.target->id &&
+         current.token == choice.token;
+}
+
 Task<RequestRouter::Next> RequestRouter::Connect(TargetPool& pool,
                                                  ByteStream& stream) {
   m_request.target = &stream;
--- a/src/transport/request_router.h
+++ b/src/transport/request_router.h
@@ -61,6 +61,8 @@
   Choice Choose(MonotonicTime now);
   Task<Next> Admit(AdmissionGate& gate);
   Task<Next> AttemptAt(const Choice& choice, AdmissionGate::Slot& slot);
+  // Whether the choice is still the owner by a state that is confirmed now.
+  bool IsConfirmedOwner(const Choice& choice, MonotonicTime now);
   Task<Next> Connect(TargetPool& pool, ByteStream& stream);
   ForwardedValues ValuesFor(const Choice& choice, MonotonicTime now) const;
 
--- a/tests/unit/data_verdict_test.cc
+++ b/tests/unit/data_verdict_test.cc
@@ -216,6 +216,29 @@
   cr_assert_eq(fixture.Call(request).status, 200);
 }
 
+// Guards against a request that is still running at a former owner that does
+// not check tokens when the move of its key has been waited for.
+Test(data_verdict, deadline_at_trusting_targets_is_bounded) {
+  FakeTarget target(AnswerOk);
+  DataFixture fixture;
+  ServiceRoutes& routes = fixture.AddService("shelf", {target.address()});
+  DataFixture::MakeKeyed(routes, 0, 5);
+  routes.config.checks_orders = false;
+  const auto longest = routes.config.longest_deadline();
+  const auto later = std::chrono::steady_clock::now() + std::chrono::hours(1);
+  fixture.confirmed_until = later.time_since_epoch().count();
+  fixture.Start();
+  cr_assert_eq(fixture
+                   .Call(Get("/shelf",
+                             "Snipehall-Key: k\r\n"
+                             "Snipehall-Deadline-Ms: 600000\r\n"))
+                   .status,
+               200);
+  const std::string sent =
+      HeaderOf(target.heads().at(0), "Snipehall-Deadline-Ms");
+  cr_assert_leq(std::stoll(sent), longest.count());
+}
+
 // Guards against requests that outlive their deadline, and against a
 // connection that is reused while an answer is pending on it.
 Test(data_verdict, deadline_closes_the_connection_and_may_have_run) {
