--- a/tests/process/support/traffic.cc
+++ b/tests/process/support/traffic.cc
@@ -206,7 +206,13 @@
     }
     if (failure) {
       ++m_report.lost;
-      NoteFault(request, "no whole answer: " + failure.message());
+      // Noted first, since losses are rarer and worse than refusals.
+      m_report.faults.insert(
+          m_report.faults.begin(),
+          request.id + ": no whole answer after " +
+              std::to_string(Since(sent).count()) + " us, " +
+              std::to_string(parser.is_header_done() ? 1 : 0) +
+              " header: " + failure.message());
       co_return false;
     }
     const bool keep_alive = parser.get().keep_alive();
