--- a/src/transport/control_loop.cc
+++ b/src/transport/control_loop.cc
@@ -127,7 +127,7 @@
 
 void ControlLoop::Submit(const Record& record,
                          MonotonicTime deadline,
-                         ControlService::SubmitCallback callback) {
+                         const ControlService::SubmitCallback& callback) {
   if (m_stopped || !m_submissions.Add(record.id, deadline, callback)) {
     callback(Fail(ErrorCode::kBusy, "too many records are waiting"));
     return;
--- a/src/transport/control_loop.h
+++ b/src/transport/control_loop.h
@@ -53,7 +53,7 @@
   // See ControlService.
   void Submit(const Record& record,
               MonotonicTime deadline,
-              ControlService::SubmitCallback callback);
+              const ControlService::SubmitCallback& callback);
   void Leave();
 
   // Leaves, and ends all work on the event loop, so that its run() returns.
--- a/src/transport/control_service.cc
+++ b/src/transport/control_service.cc
@@ -81,7 +81,7 @@
     }
     boost::asio::post(m_context, [this] {
       while (std::optional<Submission> next = m_submissions.Pop()) {
-        m_loop.Submit(next->record, next->deadline, std::move(next->callback));
+        m_loop.Submit(next->record, next->deadline, next->callback);
       }
     });
   }
--- a/src/transport/peer_client.cc
+++ b/src/transport/peer_client.cc
@@ -117,7 +117,7 @@
 }
 
 kj::Promise<kj::Own<PeerClient::Connection>> PeerClient::Connect(
-    std::string address) {
+    const std::string& address) {
   return m_network.parseAddress(address)
       .then([](kj::Own<kj::NetworkAddress> parsed) {
         auto connected = parsed->connect();
@@ -153,19 +153,19 @@
 
 // Takes a connection of its own, so that a long answer does not delay
 // heartbeats.
-kj::Promise<void> PeerClient::Fetch(std::string address, LogOffset from) {
-  return Connect(std::move(address))
-      .then([this, from](kj::Own<Connection> connection) {
-        auto request = connection->peer.recordsRequest();
-        request.setFrom(from);
-        request.setMax(m_limits.records_count);
-        return request.send()
-            .then([this](capnp::Response<rpc::Peer::RecordsResults> response) {
-              PeerChannel::PushToControl(m_channel,
-                                         RecordsAnswer{ReadRecords(response)});
-            })
-            .attach(kj::mv(connection));
-      });
+kj::Promise<void> PeerClient::Fetch(const std::string& address,
+                                    LogOffset from) {
+  return Connect(address).then([this, from](kj::Own<Connection> connection) {
+    auto request = connection->peer.recordsRequest();
+    request.setFrom(from);
+    request.setMax(m_limits.records_count);
+    return request.send()
+        .then([this](capnp::Response<rpc::Peer::RecordsResults> response) {
+          PeerChannel::PushToControl(m_channel,
+                                     RecordsAnswer{ReadRecords(response)});
+        })
+        .attach(kj::mv(connection));
+  });
 }
 
 void PeerClient::CloseIdle() {
--- a/src/transport/peer_client.h
+++ b/src/transport/peer_client.h
@@ -33,9 +33,9 @@
   struct Peer;
 
   Peer& FindPeer(const InstanceId& id, const std::string& address);
-  kj::Promise<kj::Own<Connection>> Connect(std::string address);
+  kj::Promise<kj::Own<Connection>> Connect(const std::string& address);
   kj::Promise<void> Heartbeat(Peer& peer, snipehall::Heartbeat heartbeat);
-  kj::Promise<void> Fetch(std::string address, LogOffset from);
+  kj::Promise<void> Fetch(const std::string& address, LogOffset from);
   void CloseIdle();
   void taskFailed(kj::Exception&& exception) override;
 
