Repeat a read that an earlier request's deadline cancelled

Cause: when an answer and the deadline arrived in the same pass of the event loop, the deadline cancelled the pending read of the caller, the answer was still sent, and the cancelled read then ended the wait for the next request: the kept connection was closed without an answer. Change: a cancelled read is repeated unless the request at hand is broken off. Ruled out: a timer left over from the request before; it checks its newest deadline when it fires.

--- a/src/transport/caller_session.cc
+++ b/src/transport/caller_session.cc
@@ -146,7 +146,7 @@
     if (!m_request.interrupted()) {
       error = co_await m_stream->Fill();
     }
-    if (!error) {
+    if (!error || IsLeftover(error)) {
       continue;
     }
     if (!m_has_request || m_request.interrupt == Interrupt::kStopped) {
@@ -225,7 +225,7 @@
     if (!m_request.interrupted()) {
       error = co_await m_stream->Fill();
     }
-    if (!error) {
+    if (!error || IsLeftover(error)) {
       continue;
     }
     if (m_request.interrupt == Interrupt::kStopped) {
@@ -389,10 +389,15 @@
     skipped += m_stream->data().size();
     m_stream->Consume(m_stream->data().size());
     const error_code error = co_await m_stream->Fill();
-    if (error) {
+    if (error && !IsLeftover(error)) {
       break;
     }
   }
 }
 
+bool CallerSession::IsLeftover(const error_code& error) const {
+  return error == boost::asio::error::operation_aborted &&
+         !m_request.interrupted();
+}
+
 }  // namespace snipehall
--- a/src/transport/caller_session.h
+++ b/src/transport/caller_session.h
@@ -51,6 +51,9 @@
   void NoteRequest(Verdict verdict);
   // Reads on for a short time, so that an answer is not lost to a reset.
   Task<void> Linger();
+  // Whether a read ended because an earlier request was broken off, and may
+  // simply be repeated.
+  bool IsLeftover(const boost::system::error_code& error) const;
 
   DataContext& m_context;
   std::shared_ptr<ByteStream> m_stream;
--- a/tests/unit/data_verdict_test.cc
+++ b/tests/unit/data_verdict_test.cc
@@ -259,6 +259,29 @@
   cr_assert(closed.get_future().get());
 }
 
+// Guards against a kept connection that is closed without an answer: an answer
+// that arrives together with the deadline is sent, and the read of the caller
+// that the deadline cancelled ends while the next request is awaited.
+Test(data_verdict, connection_goes_on_after_an_answer_at_the_deadline) {
+  static constexpr auto kDeadline = std::chrono::milliseconds(5);
+  FakeTarget target([](RawSocket& connection, const std::string& head) {
+    if (head.starts_with("GET /pay")) {
+      std::this_thread::sleep_for(kDeadline - std::chrono::microseconds(200));
+    }
+    return connection.Send(kOkAnswer);
+  });
+  DataFixture fixture;
+  fixture.AddService("pay", {target.address()});
+  fixture.Start();
+  RawSocket caller = fixture.Connect();
+  for (int i = 0; i < 1000; ++i) {
+    caller.Send(Get("/pay", "Snipehall-Deadline-Ms: 5\r\n"));
+    const int status = ReadAnswer(caller).status;
+    cr_assert(status == 200 || status == 503 || status == 504,
+              "attempt %d: status %d", i, status);
+  }
+}
+
 // Guards against work that goes on at the target for a caller that has left.
 Test(data_verdict, caller_that_leaves_is_cancelled_at_the_target) {
   std::promise<void> arrived;
