Fix three linter findings

Change: two static constants get their prefix; a false positive of clang-tidy 14 on a defaulted comparison is silenced on its line.

--- a/src/protocol/configuration_codec.cc
+++ b/src/protocol/configuration_codec.cc
@@ -240,8 +240,8 @@
 
 std::vector<Error> ConfigurationFromJson(const json::value& document,
                                          Configuration& configuration) {
-  static const JsonSchema schema(kConfigurationSchema);
-  std::vector<Error> errors = schema.Check(document);
+  static const JsonSchema kSchema(kConfigurationSchema);
+  std::vector<Error> errors = kSchema.Check(document);
   if (!errors.empty()) {
     return errors;
   }
--- a/src/protocol/settings.cc
+++ b/src/protocol/settings.cc
@@ -122,12 +122,12 @@
 }  // namespace
 
 Result<Settings> ParseSettings(std::string_view json) {
-  static const JsonSchema schema(kSettingsSchema);
+  static const JsonSchema kSchema(kSettingsSchema);
   const Result<json::value> document = ParseJson(json);
   if (!document) {
     return document.error();
   }
-  const std::vector<Error> errors = schema.Check(document.value());
+  const std::vector<Error> errors = kSchema.Check(document.value());
   if (!errors.empty()) {
     return errors.front();
   }
--- a/src/state/hash_range.h
+++ b/src/state/hash_range.h
@@ -21,6 +21,9 @@
   }
   bool IsSingleHash() const { return first == last; }
 
+  // clang-tidy 14 takes the comparison with zero that the compiler writes here
+  // for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const HashRange&) const = default;
 };
 
