Make an instance ready only when the assignments are known

Cause: /readyz answered 200 after the first configuration, before the first assignment of a keyed service was in the log; requests in that time waited for an owner. Change: readiness needs the platform's list and an assignment for every key range whose zone has a live target. Once ready, an instance stays so. Ruled out: checking at every change, which would take all instances away from the balancer when a service is added.

--- a/src/coordination/controller_impl.cc
+++ b/src/coordination/controller_impl.cc
@@ -217,8 +217,13 @@
     return;
   }
   m_table_stale = false;
-  auto table = BuildRoutingTable(m_fold.state(), m_settlement, m_instances,
-                                 m_confirmation.started());
+  // Once ready, an instance stays so: a new service without an assignment must
+  // not take all instances away from the balancer.
+  const bool ready =
+      m_table->ready || (m_confirmation.started() &&
+                         AreAssignmentsKnown(m_fold.state(), m_instances));
+  auto table =
+      BuildRoutingTable(m_fold.state(), m_settlement, m_instances, ready);
   if (*table != *m_table) {
     m_table = std::move(table);
   }
--- a/src/coordination/key_rebalancer.cc
+++ b/src/coordination/key_rebalancer.cc
@@ -1,7 +1,6 @@
 #include "coordination/key_rebalancer.h"
 
 #include <algorithm>
-#include <optional>
 #include <set>
 
 namespace snipehall {
--- a/src/coordination/routing_table_builder.cc
+++ b/src/coordination/routing_table_builder.cc
@@ -64,8 +64,39 @@
   return routes;
 }
 
+bool HasLiveTarget(std::span<const PlatformInstance> instances,
+                   std::string_view service,
+                   std::string_view zone) {
+  return std::any_of(instances.begin(), instances.end(),
+                     [&](const PlatformInstance& instance) {
+                       return instance.role == PlatformRole::kTarget &&
+                              !instance.leaving &&
+                              instance.service == service &&
+                              instance.zone == zone;
+                     });
+}
+
 }  // namespace
 
+bool AreAssignmentsKnown(const ClusterState& state,
+                         std::span<const PlatformInstance> instances) {
+  const ConfigurationEntry* entry = state.configuration();
+  if (entry == nullptr || instances.empty()) {
+    return false;
+  }
+  for (const ServiceConfig& service : entry->configuration.services) {
+    const ServiceAssignment* assignment = state.FindAssignment(service.name);
+    for (const KeyRangeConfig& keys : service.key_ranges) {
+      const bool owned = assignment != nullptr &&
+                         assignment->Find(keys.range.first) != nullptr;
+      if (!owned && HasLiveTarget(instances, service.name, keys.zone)) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
 std::shared_ptr<const RoutingTable> BuildRoutingTable(
     const ClusterState& state,
     const MoveSettlement& settlement,
@@ -82,8 +113,7 @@
   if (entry == nullptr) {
     return table;
   }
-  // Without the platform's list no request could be routed.
-  table->ready = ready && !instances.empty();
+  table->ready = ready;
   table->tenants = entry->configuration.tenants;
   for (const ServiceConfig& service : entry->configuration.services) {
     table->services[service.name] =
