--- a/scripts/install_packages.sh
+++ b/scripts/install_packages.sh
@@ -6,7 +6,7 @@
   g++ cmake ninja-build ccache clang-format clang-tidy
   libboost1.81-dev libboost-json1.81-dev libboost-url1.81-dev
   libcapnp-dev capnproto prometheus-cpp-dev libgoogle-glog-dev
-  libcriterion-dev librapidcheck-dev libvalijson-dev libxxhash-dev
+  libcriterion-dev librapidcheck-dev libvalijson-dev libxxhash-dev libtomlplusplus-dev
   curl python3
 )
 
--- /dev/null
+++ b/src/coordination/shared_retry_budget.cc
@@ -0,0 +1,47 @@
+#include "coordination/shared_retry_budget.h"
+
+namespace snipehall {
+
+namespace {
+
+// Slices of a window; the oldest one leaves as a whole, so a count is off by at
+// most this part.
+constexpr int kSlices = 10;
+
+}  // namespace
+
+SharedRetryBudget::Slice& SharedRetryBudget::Current(MonotonicTime now) {
+  const std::int64_t number =
+      now.time_since_epoch() /
+      (MonotonicTime::duration(m_limits.window) / kSlices);
+  while (!m_slices.empty() && m_slices.front().number <= number - kSlices - 1) {
+    m_slices.pop_front();
+  }
+  if (m_slices.empty() || m_slices.back().number != number) {
+    m_slices.push_back(Slice{number});
+  }
+  return m_slices.back();
+}
+
+void SharedRetryBudget::OnRequest(MonotonicTime now) {
+  ++Current(now).requests;
+}
+
+bool SharedRetryBudget::TryTake(MonotonicTime now) {
+  Slice& current = Current(now);
+  int requests = 0;
+  int retries = 0;
+  for (const Slice& slice : m_slices) {
+    requests += slice.requests;
+    retries += slice.retries;
+  }
+  const double allowed = m_limits.used_part * (m_limits.ratio * requests +
+                                               m_limits.base / m_instances);
+  if (retries + 1 > allowed) {
+    return false;
+  }
+  ++current.retries;
+  return true;
+}
+
+}  // namespace snipehall
--- /dev/null
+++ b/src/coordination/target_registry.cc
@@ -0,0 +1,94 @@
+#include "coordination/target_registry.h"
+
+#include <utility>
+#include <vector>
+
+namespace snipehall {
+
+namespace {
+
+bool IsOlder(const ListedTarget& entry, const ListedTarget& known) {
+  return entry.born_ms < known.born_ms ||
+         (entry.born_ms == known.born_ms && entry.report < known.report);
+}
+
+// Whether anything but the count of reports differs.
+bool Differs(const ListedTarget& entry, const ListedTarget& known) {
+  return entry.service != known.service || entry.zone != known.zone ||
+         entry.address != known.address || entry.slots != known.slots ||
+         entry.leaving != known.leaving || entry.born_ms != known.born_ms;
+}
+
+}  // namespace
+
+void TargetRegistry::OnRead(MonotonicTime now) {
+  if (m_read_at && now > *m_read_at + kOutage) {
+    m_return_until = now + kReturnTime;
+  }
+  m_read_at = now;
+}
+
+void TargetRegistry::OnEntry(MonotonicTime now,
+                             std::string_view id,
+                             std::optional<ListedTarget> entry) {
+  if (!entry) {
+    Remove(now, id);
+    return;
+  }
+  const auto known = m_targets.find(id);
+  if (known != m_targets.end() && IsOlder(*entry, known->second)) {
+    return;
+  }
+  const auto missing = m_missing_until.find(id);
+  if (missing != m_missing_until.end()) {
+    m_missing_until.erase(missing);
+  }
+  m_changed =
+      m_changed || known == m_targets.end() || Differs(*entry, known->second);
+  m_targets.insert_or_assign(TargetId(id), *std::move(entry));
+}
+
+void TargetRegistry::OnWholeList(MonotonicTime now, TargetList entries) {
+  std::vector<TargetId> gone;
+  for (const auto& [id, target] : m_targets) {
+    if (!entries.contains(id)) {
+      gone.push_back(id);
+    }
+  }
+  for (const TargetId& id : gone) {
+    Remove(now, id);
+  }
+  for (auto& [id, entry] : entries) {
+    OnEntry(now, id, std::move(entry));
+  }
+}
+
+void TargetRegistry::Remove(MonotonicTime now, std::string_view id) {
+  const auto known = m_targets.find(id);
+  if (known == m_targets.end()) {
+    return;
+  }
+  if (now < m_return_until) {
+    m_missing_until.emplace(id, m_return_until);
+    return;
+  }
+  m_targets.erase(known);
+  m_changed = true;
+}
+
+void TargetRegistry::Expire(MonotonicTime now) {
+  std::erase_if(m_missing_until, [this, now](const auto& item) {
+    if (now < item.second) {
+      return false;
+    }
+    m_targets.erase(item.first);
+    m_changed = true;
+    return true;
+  });
+}
+
+bool TargetRegistry::TakeChanged() {
+  return std::exchange(m_changed, false);
+}
+
+}  // namespace snipehall
--- /dev/null
+++ b/src/protocol/gateway_headers.cc
@@ -0,0 +1,162 @@
+#include "protocol/gateway_headers.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/beast/http/status.hpp>
+#include <charconv>
+#include <cstdio>
+
+#include "protocol/end_to_end_headers.h"
+
+namespace snipehall {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+// Longest time left that a caller may state.
+constexpr std::int64_t kTimeLeftLimitMs = 600000;
+
+boost::beast::string_view Name(std::string_view name) {
+  return {name.data(), name.size()};
+}
+
+template <typename Number>
+bool ParseNumber(std::string_view text, Number& value) {
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, value);
+  return parsed.ec == std::errc() && parsed.ptr == end;
+}
+
+// "running,waiting,slots"
+std::optional<ReportedLoad> ParseLoad(std::string_view text) {
+  std::array<int, 3> numbers = {};
+  for (std::size_t i = 0; i < numbers.size(); ++i) {
+    const std::size_t comma = text.find(',');
+    if ((comma == std::string_view::npos) != (i + 1 == numbers.size()) ||
+        !ParseNumber(text.substr(0, comma), numbers[i]) || numbers[i] < 0) {
+      return std::nullopt;
+    }
+    text.remove_prefix(std::min(text.size(), comma + 1));
+  }
+  return ReportedLoad{numbers[0] + numbers[1], numbers[2]};
+}
+
+void AppendStatusLine(unsigned status,
+                      std::string_view reason,
+                      std::string& out) {
+  out.append("HTTP/1.1 ").append(std::to_string(status)).append(" ");
+  out.append(reason).append("\r\n");
+}
+
+}  // namespace
+
+Result<GatewayRequestInfo> ParseGatewayRequest(
+    const http::fields& fields,
+    const GatewayHeaderNames& names) {
+  GatewayRequestInfo info;
+  for (const std::string_view name :
+       {names.request_id, names.time_left, names.key}) {
+    if (fields.count(Name(name)) > 1) {
+      return Fail(ErrorCode::kInvalidArgument,
+                  "repeated header " + std::string(name));
+    }
+  }
+  info.request_id = ViewOf(fields[Name(names.request_id)]);
+  const std::string_view time_left = ViewOf(fields[Name(names.time_left)]);
+  if (!time_left.empty()) {
+    std::int64_t value = 0;
+    if (!ParseNumber(time_left, value) || value < 0) {
+      return Fail(ErrorCode::kInvalidArgument,
+                  "the time left is not a number of milliseconds");
+    }
+    info.time_left = Milliseconds(std::min(value, kTimeLeftLimitMs));
+  }
+  const std::string_view key = ViewOf(fields[Name(names.key)]);
+  if (!key.empty()) {
+    KeyNumber value = 0;
+    if (!ParseNumber(key, value) || value > kLastKey) {
+      return Fail(ErrorCode::kInvalidArgument, "the key is out of bounds");
+    }
+    info.key = value;
+  }
+  return info;
+}
+
+void AppendTargetRequest(const http::request_header<>& request,
+                         const GatewayHeaderNames& names,
+                         std::string_view target,
+                         Milliseconds time_left,
+                         std::uint64_t body_length,
+                         std::string& out) {
+  out.append(ViewOf(request.method_string())).append(" ");
+  out.append(ViewOf(request.target())).append(" HTTP/1.1\r\n");
+  AppendEndToEnd(request, out, [&names](const auto& field) {
+    const std::string_view name = ViewOf(field.name_string());
+    return field.name() == http::field::content_length ||
+           field.name() == http::field::expect ||
+           EqualsIgnoringCase(name, names.time_left) ||
+           EqualsIgnoringCase(name, names.expected_target);
+  });
+  AppendField(names.time_left, static_cast<std::uint64_t>(time_left.count()),
+              out);
+  AppendField(names.expected_target, target, out);
+  const bool may_have_body = request.method() != http::verb::get &&
+                             request.method() != http::verb::head;
+  if (body_length > 0 || may_have_body) {
+    AppendField("Content-Length", body_length, out);
+  }
+  out.append("\r\n");
+}
+
+TargetAnswerInfo ReadTargetAnswer(const http::response_header<>& answer,
+                                  const GatewayHeaderNames& names,
+                                  std::string_view request_id) {
+  TargetAnswerInfo info;
+  info.matches = ViewOf(answer[Name(names.request_id)]) == request_id;
+  info.has_signature = answer.count(Name(names.signature)) > 0;
+  info.not_run = answer.count(Name(names.not_run)) > 0 ||
+                 answer.result() == http::status::misdirected_request;
+  info.encoded = answer.count(http::field::content_encoding) > 0;
+  info.load = ParseLoad(ViewOf(answer[Name(names.load)]));
+  return info;
+}
+
+void AppendCallerAnswer(const http::response_header<>& answer,
+                        std::uint64_t body_length,
+                        bool has_body,
+                        bool keep_alive,
+                        std::string& out) {
+  AppendStatusLine(answer.result_int(), ViewOf(answer.reason()), out);
+  AppendEndToEnd(answer, out, [has_body](const auto& field) {
+    return has_body && field.name() == http::field::content_length;
+  });
+  if (has_body) {
+    AppendField("Content-Length", body_length, out);
+  }
+  if (!keep_alive) {
+    AppendField("Connection", "close", out);
+  }
+  out.append("\r\n");
+}
+
+void AppendOwnAnswer(int status,
+                     Milliseconds retry_after,
+                     bool keep_alive,
+                     std::string& out) {
+  const auto code = static_cast<unsigned>(status);
+  AppendStatusLine(
+      code, ViewOf(http::obsolete_reason(http::int_to_status(code))), out);
+  if (retry_after.count() > 0) {
+    std::array<char, 32> seconds;
+    std::snprintf(seconds.data(), seconds.size(), "%.2f",
+                  std::chrono::duration<double>(retry_after).count());
+    AppendField("Retry-After", std::string_view(seconds.data()), out);
+  }
+  if (!keep_alive) {
+    AppendField("Connection", "close", out);
+  }
+  out.append("Content-Length: 0\r\n\r\n");
+}
+
+}  // namespace snipehall
--- a/src/protocol/request_headers.cc
+++ b/src/protocol/request_headers.cc
@@ -2,10 +2,9 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/beast/core/string.hpp>
-#include <boost/beast/http/rfc7230.hpp>
 #include <charconv>
 
+#include "protocol/end_to_end_headers.h"
 #include "protocol/target_protocol.h"
 #include "state/hash_range.h"
 
@@ -21,20 +20,11 @@
 constexpr std::int64_t kDeadlineLimitMs = 600000;
 constexpr std::string_view kPrefix = "Snipehall-";
 
-std::string_view View(boost::beast::string_view text) {
-  return {text.data(), text.size()};
-}
-
-bool EqualsIgnoringCase(std::string_view left, std::string_view right) {
-  return boost::beast::iequals({left.data(), left.size()},
-                               {right.data(), right.size()});
-}
-
 bool IsSnipehallHeader(const http::fields::value_type& field) {
   return field.name() == http::field::unknown &&
          field.name_string().size() > kPrefix.size() &&
-         EqualsIgnoringCase(View(field.name_string()).substr(0, kPrefix.size()),
-                            kPrefix);
+         EqualsIgnoringCase(
+             ViewOf(field.name_string()).substr(0, kPrefix.size()), kPrefix);
 }
 
 bool IsNameCharacter(char c) {
@@ -114,64 +104,6 @@
          EqualsIgnoringCase(name, kDeadlineHeader);
 }
 
-// Headers of one connection only, and those that frame the message.
-bool IsHopByHop(http::field name) {
-  switch (name) {
-    case http::field::connection:
-    case http::field::keep_alive:
-    case http::field::proxy_connection:
-    case http::field::proxy_authenticate:
-    case http::field::proxy_authorization:
-    case http::field::te:
-    case http::field::trailer:
-    case http::field::transfer_encoding:
-    case http::field::upgrade:
-      return true;
-    default:
-      return false;
-  }
-}
-
-// Whether `connection`, the value of a Connection header, names the field.
-bool IsNominated(boost::beast::string_view connection,
-                 boost::beast::string_view name) {
-  return !connection.empty() && http::token_list{connection}.exists(name);
-}
-
-void AppendField(std::string_view name,
-                 std::string_view value,
-                 std::string& out) {
-  out.append(name).append(": ").append(value).append("\r\n");
-}
-
-void AppendNumber(std::string_view name,
-                  std::uint64_t value,
-                  std::string& out) {
-  std::array<char, 20> digits;
-  const auto end =
-      std::to_chars(digits.data(), digits.data() + digits.size(), value).ptr;
-  AppendField(name, {digits.data(), end}, out);
-}
-
-// Appends the end-to-end headers that `is_dropped` lets through.
-template <typename Predicate>
-void AppendEndToEnd(const http::fields& fields,
-                    std::string& out,
-                    Predicate is_dropped) {
-  const auto connections = fields.equal_range(http::field::connection);
-  for (const auto& field : fields) {
-    if (IsHopByHop(field.name()) || is_dropped(field) ||
-        std::any_of(connections.first, connections.second,
-                    [&field](const auto& connection) {
-                      return IsNominated(connection.value(),
-                                         field.name_string());
-                    })) {
-      continue;
-    }
-    AppendField(View(field.name_string()), View(field.value()), out);
-  }
-}
-
 }  // namespace
 
 Result<RequestContext> ParseRequestContext(const http::fields& fields,
@@ -184,13 +116,13 @@
     if (!IsSnipehallHeader(field)) {
       continue;
     }
-    const std::string_view name = View(field.name_string());
+    const std::string_view name = ViewOf(field.name_string());
     for (std::size_t i = 0; i < kRules.size(); ++i) {
       if (!EqualsIgnoringCase(name, kRules[i].name)) {
         continue;
       }
       if ((seen & (1U << i)) != 0 ||
-          !kRules[i].parse(View(field.value()), context)) {
+          !kRules[i].parse(ViewOf(field.value()), context)) {
         return Fail(ErrorCode::kInvalidArgument,
                     "invalid or repeated header " + std::string(name));
       }
@@ -209,22 +141,23 @@
 void AppendForwardedHead(const http::request_header<>& request,
                          const ForwardedValues& values,
                          std::string& out) {
-  out.append(View(request.method_string())).append(" ");
-  out.append(View(request.target())).append(" HTTP/1.1\r\n");
+  out.append(ViewOf(request.method_string())).append(" ");
+  out.append(ViewOf(request.target())).append(" HTTP/1.1\r\n");
   AppendEndToEnd(request, out, [](const auto& field) {
     return field.name() == http::field::content_length ||
            field.name() == http::field::expect ||
-           (IsSnipehallHeader(field) && IsReserved(View(field.name_string())));
+           (IsSnipehallHeader(field) &&
+            IsReserved(ViewOf(field.name_string())));
   });
   AppendField(kRequestIdHeader, values.request_id, out);
-  AppendNumber(kDeadlineHeader, static_cast<std::uint64_t>(values.deadline_ms),
-               out);
+  AppendField(kDeadlineHeader, static_cast<std::uint64_t>(values.deadline_ms),
+              out);
   if (values.hash) {
     AppendField(kHashHeader, ToHex(*values.hash), out);
-    AppendNumber(kTokenHeader, values.token, out);
+    AppendField(kTokenHeader, values.token, out);
   }
   if (values.framing == BodyFraming::kLength) {
-    AppendNumber("Content-Length", values.body_length, out);
+    AppendField("Content-Length", values.body_length, out);
   } else if (values.framing == BodyFraming::kChunked) {
     AppendField("Transfer-Encoding", "chunked", out);
   }
@@ -241,15 +174,15 @@
                                  answer.result_int())
                        .ptr;
   out.append("HTTP/1.1 ").append(status.data(), end).append(" ");
-  out.append(View(answer.reason())).append("\r\n");
+  out.append(ViewOf(answer.reason())).append("\r\n");
   AppendEndToEnd(answer, out, [framing](const auto& field) {
     return (framing != BodyFraming::kNone &&
             field.name() == http::field::content_length) ||
            (IsSnipehallHeader(field) &&
-            EqualsIgnoringCase(View(field.name_string()), kVerdictHeader));
+            EqualsIgnoringCase(ViewOf(field.name_string()), kVerdictHeader));
   });
   if (framing == BodyFraming::kLength) {
-    AppendNumber("Content-Length", body_length, out);
+    AppendField("Content-Length", body_length, out);
   } else if (framing == BodyFraming::kChunked) {
     AppendField("Transfer-Encoding", "chunked", out);
   }
--- /dev/null
+++ b/src/transport/event_log.cc
@@ -0,0 +1,55 @@
+#include "transport/event_log.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <chrono>
+
+namespace snipehall {
+
+EventLog::EventLog(InstanceId instance) : m_instance(std::move(instance)) {
+  const int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+  if (flags >= 0) {
+    ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  }
+}
+
+EventLog::~EventLog() = default;
+
+void EventLog::Write(std::string_view event, Fields fields) {
+  const auto now = std::chrono::steady_clock::now().time_since_epoch();
+  const std::int64_t second =
+      std::chrono::duration_cast<std::chrono::seconds>(now).count();
+  Rate& rate = m_rates[std::string(event)];
+  if (rate.second != second) {
+    rate.second = second;
+    rate.lines = 0;
+  }
+  if (rate.lines >= kLinesPerSecond) {
+    ++rate.left_out;
+    return;
+  }
+  ++rate.lines;
+  boost::json::object line;
+  line["time"] = std::chrono::duration_cast<std::chrono::milliseconds>(
+                     std::chrono::system_clock::now().time_since_epoch())
+                     .count();
+  line["instance"] = m_instance;
+  line["event"] = event;
+  for (const auto& [name, value] : fields) {
+    line[name] = value;
+  }
+  if (rate.left_out > 0) {
+    line["left_out"] = std::exchange(rate.left_out, 0);
+  }
+  std::string text = boost::json::serialize(line);
+  text.push_back('\n');
+  if (::write(STDOUT_FILENO, text.data(), text.size()) !=
+      static_cast<ssize_t>(text.size())) {
+    ++m_dropped;
+  }
+}
+
+}  // namespace snipehall
--- /dev/null
+++ b/src/transport/gateway/gateway.h
@@ -0,0 +1,133 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/outcome/try.hpp>
+#include <csignal>
+#include <memory>
+#include <random>
+
+#include "transport/gateway/gateway_control.h"
+#include "transport/gateway/gateway_server.h"
+
+namespace snipehall {
+
+// A whole gateway on one event loop: serves callers, follows the platform's
+// log, takes its turn as the lead, and stops gracefully at SIGTERM.
+//
+// One thread serves both: on a fifth of a core a second one would only add
+// switches, and the decisions of the lead need the loads that callers cause.
+template <GatewayPlatform Platform>
+class Gateway {
+ public:
+  Gateway(boost::asio::io_context& io,
+          const GatewaySettings& settings,
+          const GatewayHeaderNames& names,
+          Platform& platform)
+      : m_settings(settings),
+        m_log(settings.instance),
+        m_context(io.get_executor(),
+                  m_settings,
+                  names,
+                  m_state,
+                  m_metrics,
+                  std::random_device{}()),
+        m_control(io.get_executor(),
+                  m_settings,
+                  platform,
+                  m_state,
+                  m_metrics,
+                  m_log),
+        m_signals(io, SIGTERM, SIGINT),
+        m_stop_timer(io) {}
+
+  // Binds the listeners and starts all work on the event loop.
+  Result<void> Start() {
+    BOOST_OUTCOME_TRY(m_server,
+                      GatewayServer::Create(m_context, m_settings, [this] {
+                        return !m_context.draining && m_control.IsReady();
+                      }));
+    m_context.on_target_dead = [this](std::string_view target) {
+      m_control.OnTargetDead(target);
+    };
+    m_context.on_failed_request = [this](const FailedRequest& request) {
+      LogFailure(request);
+    };
+    m_signals.async_wait(
+        [this](const boost::system::error_code& error, int /*signal*/) {
+          if (!error) {
+            BeginStop();
+          }
+        });
+    m_log.Write("start", {{"zone", m_settings.zone}});
+    m_server->Start();
+    m_control.Start();
+    return boost::outcome_v2::success();
+  }
+
+ private:
+  // The balancer asks every second and takes an instance out after two misses;
+  // until then it sends new connections.
+  static constexpr Milliseconds kAcceptAfterStop{2600};
+  static constexpr Milliseconds kStopTick{50};
+  // Left of the time to stop when the process ends at the latest.
+  static constexpr Milliseconds kStopReserve{300};
+
+  static MonotonicTime Now() { return std::chrono::steady_clock::now(); }
+
+  void LogFailure(const FailedRequest& request) {
+    m_log.Write("request_failed",
+                {{"id", request.request_id},
+                 {"route", request.route},
+                 {"target", request.target},
+                 {"cause", request.cause},
+                 {"status", std::to_string(request.status)},
+                 {"attempts", std::to_string(request.attempts)},
+                 {"elapsed_ms", std::to_string(request.elapsed_ms)},
+                 {"configuration", std::to_string(request.policy_version)}});
+  }
+
+  void BeginStop() {
+    m_log.Write("stop", {{"busy", std::to_string(m_server->busy())}});
+    m_server->BeginDrain();
+    m_control.BeginDrain();
+    m_accept_until = Now() + kAcceptAfterStop;
+    m_stop_at = Now() + m_settings.stop_time - kStopReserve;
+    ContinueStop();
+  }
+
+  void ContinueStop() {
+    if (Now() >= m_accept_until) {
+      m_server->CloseListeners();
+      m_server->CloseIdle();
+      if (m_server->busy() == 0 || Now() >= m_stop_at) {
+        m_log.Write("stopped", {{"busy", std::to_string(m_server->busy())}});
+        m_server->Stop();
+        m_control.Stop();
+        m_context.executor.context().stop();
+        return;
+      }
+    }
+    m_stop_timer.expires_after(kStopTick);
+    m_stop_timer.async_wait([this](const boost::system::error_code& error) {
+      if (!error) {
+        ContinueStop();
+      }
+    });
+  }
+
+  GatewaySettings m_settings;
+  RoutingState m_state;
+  GatewayMetrics m_metrics;
+  EventLog m_log;
+  GatewayContext m_context;
+  GatewayControl<Platform> m_control;
+  std::unique_ptr<GatewayServer> m_server;
+  boost::asio::signal_set m_signals;
+  boost::asio::steady_timer m_stop_timer;
+  MonotonicTime m_accept_until;
+  MonotonicTime m_stop_at;
+};
+
+}  // namespace snipehall
--- /dev/null
+++ b/src/transport/gateway/gateway_control.h
@@ -0,0 +1,432 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <concepts>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "coordination/key_lead.h"
+#include "coordination/target_registry.h"
+#include "protocol/key_table_codec.h"
+#include "transport/event_log.h"
+#include "transport/gateway/gateway_metrics.h"
+#include "transport/gateway/gateway_settings.h"
+#include "transport/gateway/routing_state.h"
+#include "transport/record_feed.h"
+#include "transport/spawn.h"
+
+namespace snipehall {
+
+// What a gateway needs of the platform that it runs on.
+//
+// NewLog() gives a connection to the log; each feed has its own.
+// NewKeyOrders() gives a client that carries orders to one target, one at a
+// time. RequestDuty() tells whether the platform names this instance for the
+// duty of ordering targets, which is a hint: it may name two instances, or
+// none. ParsePolicy() and ParseTarget() read the operator's and the targets'
+// records.
+template <typename T>
+concept GatewayPlatform = requires(T platform,
+                                   const std::string& text,
+                                   const std::string& id,
+                                   const KeyOrder& order,
+                                   MonotonicTime time) {
+  requires RecordLog<typename T::Log>;
+  { platform.NewLog() } -> std::same_as<std::shared_ptr<typename T::Log>>;
+  {platform.NewKeyOrders(id)};
+  {
+    platform.RequestDuty(time)
+    } -> std::same_as<boost::asio::awaitable<Result<bool>>>;
+  {
+    platform.LeaveDuty(time)
+    } -> std::same_as<boost::asio::awaitable<Result<void>>>;
+  {
+    platform.ParsePolicy(text)
+    } -> std::same_as<Result<std::shared_ptr<const RoutePolicy>>>;
+  {
+    platform.ParseTarget(id, text, time)
+    } -> std::same_as<Result<ListedTarget>>;
+  { platform.policy_topic() } -> std::convertible_to<std::string>;
+  { platform.policy_key() } -> std::convertible_to<std::string>;
+  { platform.target_topic() } -> std::convertible_to<std::string>;
+  { platform.key_topic() } -> std::convertible_to<std::string>;
+};
+
+// Keeps an instance's routing state up to date with the platform's log and, as
+// the lead, orders the targets which keys they own.
+template <GatewayPlatform Platform>
+class GatewayControl {
+ public:
+  GatewayControl(boost::asio::any_io_executor executor,
+                 const GatewaySettings& settings,
+                 Platform& platform,
+                 RoutingState& state,
+                 GatewayMetrics& metrics,
+                 EventLog& log)
+      : m_executor(std::move(executor)),
+        m_platform(platform),
+        m_state(state),
+        m_metrics(metrics),
+        m_log(log),
+        m_lead(settings.instance),
+        m_append_log(platform.NewLog()),
+        m_lead_timer(m_executor),
+        m_duty_timer(m_executor),
+        m_policy_feed(m_executor,
+                      platform.NewLog(),
+                      {platform.policy_topic()},
+                      Events("configuration", &GatewayControl::OnPolicyPage)),
+        m_target_feed(m_executor,
+                      platform.NewLog(),
+                      {platform.target_topic(), kTargetInterval},
+                      Events("targets", &GatewayControl::OnTargetPage)),
+        m_key_feed(m_executor,
+                   platform.NewLog(),
+                   {platform.key_topic()},
+                   Events("keys", &GatewayControl::OnKeyPage)) {}
+
+  void Start() {
+    Spawn(m_executor, m_policy_feed.Run());
+    Spawn(m_executor, m_target_feed.Run());
+    Spawn(m_executor, m_key_feed.Run());
+    Spawn(m_executor, RunDuty());
+    Spawn(m_executor, RunLead());
+  }
+
+  // Configuration, targets and owners are known.
+  bool IsReady() const {
+    if (!m_state.policy() || !m_has_targets || !m_has_keys) {
+      return false;
+    }
+    for (const auto& [name, policy] : m_state.policy()->services()) {
+      if (policy.keyed && !m_state.keys().services.contains(name) &&
+          HasTarget(name)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  // A connection to the target was refused.
+  void OnTargetDead(std::string_view target) {
+    m_lead.OnTargetDead(Now(), target);
+    WakeLead();
+  }
+
+  // Gives up the duty, so that another instance takes it over at once.
+  void BeginDrain() {
+    m_draining = true;
+    m_duty_timer.cancel();
+  }
+
+  void Stop() {
+    m_stopped = true;
+    m_policy_feed.Close();
+    m_target_feed.Close();
+    m_key_feed.Close();
+    m_append_log->Close();
+    m_lead_timer.cancel();
+    m_duty_timer.cancel();
+    for (const auto& [address, idle] : m_order_clients) {
+      for (const std::shared_ptr<Orders>& orders : idle) {
+        orders->Close();
+      }
+    }
+  }
+
+ private:
+  using Feed = RecordFeed<typename Platform::Log>;
+  using Orders = typename decltype(std::declval<Platform>().NewKeyOrders(
+      std::declval<std::string>()))::element_type;
+
+  // Time between reads of the targets' reports. Each target reports several
+  // times a second in all, so waiting for records would cost a call for each.
+  // A leaving target must be known within two seconds.
+  static constexpr Milliseconds kTargetInterval{800};
+  // How long reads of rarely changed topics wait. Dead connections are found
+  // by keep-alive probes, not by the end of the wait.
+  static constexpr Milliseconds kLongWait{20000};
+  // A lead's reads confirm it, so they must end well within
+  // KeyLead::kLeadLease.
+  static constexpr Milliseconds kLeadWait{800};
+  // Time between two looks at due orders.
+  static constexpr Milliseconds kLeadTick{100};
+  static constexpr Milliseconds kDutyInterval{1000};
+  static constexpr Milliseconds kCallLimit{1000};
+
+  static MonotonicTime Now() { return std::chrono::steady_clock::now(); }
+
+  bool HasTarget(std::string_view service) const {
+    for (const auto& [id, target] : m_state.targets()) {
+      if (target.service == service) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  typename Feed::Events Events(
+      const char* topic,
+      void (GatewayControl::*on_page)(const RecordPage&, bool)) {
+    return {[this, topic, on_page](const RecordPage& page, bool whole) {
+              NoteDependency(topic, std::nullopt);
+              (this->*on_page)(page, whole);
+            },
+            [this, topic](const Error& error) { NoteDependency(topic, error); },
+            [this] { return m_lead.IsNamedLead() ? kLeadWait : kLongWait; }};
+  }
+
+  // Logs that a feed was lost or regained.
+  void NoteDependency(const std::string& topic, std::optional<Error> error) {
+    bool& lost = m_lost[topic];
+    if (error) {
+      m_metrics.Count("log_read_failed");
+    }
+    if (lost != error.has_value()) {
+      lost = error.has_value();
+      m_log.Write(lost ? "dependency_lost" : "dependency_regained",
+                  {{"topic", topic},
+                   {"error", error ? error->message : std::string()}});
+    }
+  }
+
+  void OnPolicyPage(const RecordPage& page, bool /*whole*/) {
+    for (const KeyedRecord& record : page.records) {
+      if (record.key != m_platform.policy_key() || record.value.empty()) {
+        continue;
+      }
+      const auto policy = m_platform.ParsePolicy(record.value);
+      if (!policy) {
+        m_log.Write("configuration_refused",
+                    {{"error", policy.error().message}});
+        continue;
+      }
+      const std::uint64_t version = policy.value()->version();
+      const std::uint64_t known =
+          m_state.policy() ? m_state.policy()->version() : 0;
+      if (m_state.policy() && version <= known) {
+        continue;
+      }
+      m_log.Write("configuration", {{"version", std::to_string(version)},
+                                    {"before", std::to_string(known)}});
+      m_state.SetPolicy(policy.value());
+      std::set<ServiceName, std::less<>> keyed;
+      for (const auto& [name, service] : policy.value()->services()) {
+        if (service.keyed) {
+          keyed.insert(name);
+        }
+      }
+      m_lead.SetKeyedServices(std::move(keyed));
+    }
+  }
+
+  void OnTargetPage(const RecordPage& page, bool whole) {
+    const MonotonicTime now = Now();
+    m_registry.OnRead(now);
+    TargetList entries;
+    for (const KeyedRecord& record : page.records) {
+      std::optional<ListedTarget> entry;
+      if (!record.value.empty()) {
+        auto parsed = m_platform.ParseTarget(record.key, record.value, now);
+        if (parsed) {
+          entry = std::move(parsed).value();
+        } else {
+          m_metrics.Count("unreadable_target");
+        }
+      }
+      if (whole && entry) {
+        entries.insert_or_assign(record.key, *std::move(entry));
+      } else if (!whole) {
+        m_registry.OnEntry(now, record.key, std::move(entry));
+      }
+    }
+    if (whole) {
+      m_registry.OnWholeList(now, std::move(entries));
+    }
+    m_registry.Expire(now);
+    m_has_targets = true;
+    if (m_registry.TakeChanged()) {
+      m_metrics.Set("targets",
+                    static_cast<double>(m_registry.targets().size()));
+      m_state.SetTargets(m_registry.targets());
+      m_lead.OnTargets(now, m_registry.targets());
+      WakeLead();
+    }
+  }
+
+  void OnKeyPage(const RecordPage& page, bool /*whole*/) {
+    const MonotonicTime now = Now();
+    m_has_keys = true;
+    if (page.end > m_keys_end || !m_has_keys_end) {
+      for (const KeyedRecord& record : page.records) {
+        auto table = DecodeKeyTable(record.value);
+        if (!table) {
+          m_log.Write("keys_unreadable", {{"error", table.error().message}});
+          continue;
+        }
+        ApplyKeys(now, std::move(table).value());
+      }
+      m_keys_end = page.end;
+      m_has_keys_end = true;
+    }
+    if (page.end == m_keys_end) {
+      m_lead.OnConfirmed(page.began);
+    }
+    WakeLead();
+  }
+
+  void ApplyKeys(MonotonicTime now, KeyTable table) {
+    if (table.lead != m_state.keys().lead) {
+      m_log.Write("lead", {{"lead", table.lead},
+                           {"fence", std::to_string(table.fence)}});
+    }
+    m_state.SetKeys(table);
+    m_lead.OnTable(now, std::move(table));
+  }
+
+  boost::asio::awaitable<void> RunDuty() {
+    while (!m_stopped && !m_draining) {
+      const Result<bool> duty =
+          co_await m_platform.RequestDuty(Now() + kCallLimit);
+      m_duty = duty.has_value() && duty.value();
+      if (m_duty && !m_lead.IsNamedLead()) {
+        WakeLead();
+      }
+      m_duty_timer.expires_after(kDutyInterval);
+      co_await m_duty_timer.async_wait(
+          boost::asio::as_tuple(boost::asio::use_awaitable));
+    }
+    m_duty = false;
+    co_await m_platform.LeaveDuty(Now() + kCallLimit);
+  }
+
+  void WakeLead() {
+    m_wake_lead = true;
+    m_lead_timer.cancel();
+  }
+
+  boost::asio::awaitable<void> RunLead() {
+    while (!m_stopped) {
+      const bool active = m_lead.IsNamedLead() || m_duty;
+      m_lead_timer.expires_after(active ? kLeadTick : kLongWait);
+      if (!m_wake_lead) {
+        co_await m_lead_timer.async_wait(
+            boost::asio::as_tuple(boost::asio::use_awaitable));
+      }
+      m_wake_lead = false;
+      if (m_stopped) {
+        break;
+      }
+      if (m_has_keys_end && !m_appending) {
+        if (auto next = m_lead.NextTable(Now(), m_duty && !m_draining)) {
+          m_appending = true;
+          Spawn(m_executor, Append(*std::move(next)));
+        }
+      }
+      for (KeyOrder& order : m_lead.TakeOrders(Now())) {
+        Spawn(m_executor, Send(std::move(order)));
+      }
+    }
+  }
+
+  boost::asio::awaitable<void> Append(KeyTable table) {
+    const KeyedRecord record{kKeyRecord, EncodeKeyTable(table)};
+    const std::uint64_t at = m_keys_end;
+    const Result<std::uint64_t> end = co_await m_append_log->Append(
+        m_platform.key_topic(), record, at, Now() + kCallLimit);
+    m_metrics.Count(end ? "keys_appended" : "keys_append_failed");
+    if (end && m_keys_end == at) {
+      m_keys_end = end.value();
+      ApplyKeys(Now(), std::move(table));
+    } else if (end.has_error()) {
+      // The key feed shows what was appended, by whomever.
+      m_log.Write("keys_append_failed", {{"error", end.error().message}});
+      boost::asio::steady_timer pause(m_executor, kLeadTick * 3);
+      co_await pause.async_wait(
+          boost::asio::as_tuple(boost::asio::use_awaitable));
+    }
+    m_appending = false;
+    WakeLead();
+  }
+
+  boost::asio::awaitable<void> Send(KeyOrder order) {
+    const std::shared_ptr<Orders> orders = TakeOrderClient(order);
+    const Milliseconds limit = order.kind == KeyOrder::Kind::kRelease
+                                   ? kReleaseLimit
+                                   : KeyLead::kOrderLimit;
+    const KeyOrderResult result = co_await orders->Send(order, Now() + limit);
+    if (m_stopped) {
+      co_return;
+    }
+    m_order_clients[order.address].push_back(orders);
+    NoteOrder(order, result);
+    m_lead.OnOrderDone(Now(), order, result);
+    WakeLead();
+  }
+
+  // A client carries one order at a time.
+  std::shared_ptr<Orders> TakeOrderClient(const KeyOrder& order) {
+    std::vector<std::shared_ptr<Orders>>& idle = m_order_clients[order.address];
+    if (idle.empty()) {
+      return m_platform.NewKeyOrders(order.address);
+    }
+    std::shared_ptr<Orders> orders = std::move(idle.back());
+    idle.pop_back();
+    return orders;
+  }
+
+  void NoteOrder(const KeyOrder& order, const KeyOrderResult& result) {
+    const bool release = order.kind == KeyOrder::Kind::kRelease;
+    m_metrics.Count(release ? "releases" : "grants");
+    if (release || result.outcome != KeyOrderOutcome::kDone) {
+      m_log.Write(
+          "key_order",
+          {{"kind", release ? "release" : "grant"},
+           {"target", order.target},
+           {"first", std::to_string(order.first)},
+           {"last", std::to_string(order.last)},
+           {"fence", std::to_string(order.fence)},
+           {"outcome", std::to_string(static_cast<int>(result.outcome))}});
+    }
+  }
+
+  // A target answers a release when the work on its keys has ended.
+  static constexpr Milliseconds kReleaseLimit{4000};
+  static constexpr const char* kKeyRecord = "table";
+
+  boost::asio::any_io_executor m_executor;
+  Platform& m_platform;
+  RoutingState& m_state;
+  GatewayMetrics& m_metrics;
+  EventLog& m_log;
+  TargetRegistry m_registry;
+  KeyLead m_lead;
+  std::shared_ptr<typename Platform::Log> m_append_log;
+  // Idle clients by the address of their target.
+  std::map<std::string, std::vector<std::shared_ptr<Orders>>> m_order_clients;
+  std::map<std::string, bool> m_lost;
+  boost::asio::steady_timer m_lead_timer;
+  boost::asio::steady_timer m_duty_timer;
+  Feed m_policy_feed;
+  Feed m_target_feed;
+  Feed m_key_feed;
+  // End of the key topic that the known table reflects.
+  std::uint64_t m_keys_end = 0;
+  bool m_has_keys_end = false;
+  bool m_has_targets = false;
+  bool m_has_keys = false;
+  bool m_duty = false;
+  bool m_appending = false;
+  bool m_wake_lead = false;
+  bool m_draining = false;
+  bool m_stopped = false;
+};
+
+}  // namespace snipehall
--- /dev/null
+++ b/src/transport/gateway/gateway_request.cc
@@ -0,0 +1,68 @@
+#include "transport/gateway/gateway_request.h"
+
+#include <algorithm>
+
+namespace snipehall {
+
+GatewayRequest::GatewayRequest(const Executor& executor, ByteStream& caller)
+    : event(executor),
+      m_caller(caller),
+      m_timer(
+          std::make_shared<DeadlineTimer>(executor, [this] { OnExpiry(); })) {}
+
+GatewayRequest::~GatewayRequest() {
+  m_timer->Close();
+}
+
+void GatewayRequest::Reset() {
+  parser.reset();
+  info = {};
+  body.clear();
+  body.shrink_to_fit();
+  policy.reset();
+  route = nullptr;
+  deadline = MonotonicTime::max();
+  keep_alive = true;
+  m_deadline_passed = false;
+  m_caller_gone = false;
+  m_step_expired = false;
+  m_timer->Disarm();
+}
+
+void GatewayRequest::LimitStep(MonotonicTime limit) {
+  m_step_expired = false;
+  m_timer->Arm(std::min(limit, deadline));
+}
+
+void GatewayRequest::EndStep() {
+  m_step_expired = false;
+  if (deadline == MonotonicTime::max()) {
+    m_timer->Disarm();
+  } else {
+    m_timer->Arm(deadline);
+  }
+}
+
+void GatewayRequest::OnExpiry() {
+  if (std::chrono::steady_clock::now() >= deadline) {
+    m_deadline_passed = true;
+  } else {
+    m_step_expired = true;
+  }
+  BreakOff();
+}
+
+void GatewayRequest::OnCallerGone() {
+  m_caller_gone = true;
+  BreakOff();
+}
+
+void GatewayRequest::BreakOff() {
+  m_caller.Cancel();
+  if (target != nullptr) {
+    target->Cancel();
+  }
+  event.Notify();
+}
+
+}  // namespace snipehall
--- /dev/null
+++ b/src/transport/gateway/gateway_server.cc
@@ -0,0 +1,172 @@
+#include "transport/gateway/gateway_server.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/outcome/try.hpp>
+#include <vector>
+
+#include "protocol/http_rules.h"
+#include "transport/gateway/gateway_session.h"
+
+namespace snipehall {
+
+namespace {
+
+using boost::system::error_code;
+
+// Connections that may wait to be accepted: those of a burst that arrives while
+// the process has no turn.
+constexpr int kBacklog = 512;
+// Pause after a failed accept, which usually means that descriptors ran out.
+constexpr Milliseconds kAcceptPause{20};
+// A connection with questions is closed after this long without one.
+constexpr Milliseconds kQuestionIdle{10000};
+
+template <typename Acceptor>
+Result<void> Bind(Acceptor& acceptor, const std::string& address) {
+  BOOST_OUTCOME_TRY(const auto endpoint, ParseEndpoint(address));
+  error_code error;
+  acceptor.open(endpoint.protocol(), error);
+  if (!error) {
+    acceptor.set_option(boost::asio::socket_base::reuse_address(true), error);
+  }
+  if (!error) {
+    acceptor.bind(endpoint, error);
+  }
+  if (!error) {
+    acceptor.listen(kBacklog, error);
+  }
+  if (error) {
+    return Fail(ErrorCode::kUnavailable,
+                "cannot listen at " + address + ": " + error.message());
+  }
+  return boost::outcome_v2::success();
+}
+
+}  // namespace
+
+GatewayServer::GatewayServer(GatewayContext& context,
+                             std::function<bool()> is_ready)
+    : m_context(context),
+      m_is_ready(std::move(is_ready)),
+      m_callers(context.executor),
+      m_questions(context.executor) {}
+
+Result<std::unique_ptr<GatewayServer>> GatewayServer::Create(
+    GatewayContext& context,
+    const GatewaySettings& settings,
+    std::function<bool()> is_ready) {
+  auto server = std::unique_ptr<GatewayServer>(
+      new GatewayServer(context, std::move(is_ready)));
+  BOOST_OUTCOME_TRY(Bind(server->m_callers, settings.caller_address));
+  BOOST_OUTCOME_TRY(Bind(server->m_questions, settings.status_address));
+  return server;
+}
+
+void GatewayServer::Start() {
+  boost::asio::co_spawn(m_context.executor, AcceptCallers(),
+                        boost::asio::detached);
+  boost::asio::co_spawn(m_context.executor, AcceptQuestions(),
+                        boost::asio::detached);
+}
+
+Task<void> GatewayServer::AcceptCallers() {
+  Timer pause(m_context.executor);
+  while (m_callers.is_open()) {
+    Socket socket(m_context.executor);
+    const auto [error] = co_await m_callers.async_accept(socket, kTask);
+    if (!error) {
+      auto session =
+          std::make_shared<GatewaySession>(m_context, std::move(socket));
+      boost::asio::co_spawn(
+          m_context.executor, [session] { return session->Run(); },
+          boost::asio::detached);
+    } else if (m_callers.is_open()) {
+      pause.expires_after(kAcceptPause);
+      co_await pause.async_wait(kTask);
+    }
+  }
+}
+
+Task<void> GatewayServer::AcceptQuestions() {
+  Timer pause(m_context.executor);
+  while (m_questions.is_open()) {
+    Socket socket(m_context.executor);
+    const auto [error] = co_await m_questions.async_accept(socket, kTask);
+    if (!error) {
+      boost::asio::co_spawn(m_context.executor, Answer(std::move(socket)),
+                            boost::asio::detached);
+    } else if (m_questions.is_open()) {
+      pause.expires_after(kAcceptPause);
+      co_await pause.async_wait(kTask);
+    }
+  }
+}
+
+Task<void> GatewayServer::Answer(Socket socket) {
+  const auto stream = std::make_shared<ByteStream>(std::move(socket));
+  const auto timer = std::make_shared<DeadlineTimer>(
+      m_context.executor, [raw = stream.get()] { raw->Close(); });
+  bool open = true;
+  while (open) {
+    timer->Arm(std::chrono::steady_clock::now() + kQuestionIdle);
+    error_code error;
+    std::size_t size = 0;
+    while (!error && (size = FindHeadEnd(stream->data())) == 0) {
+      error = co_await stream->Fill();
+    }
+    if (error) {
+      break;
+    }
+    const bool metrics = stream->data().substr(0, size).find(" /metrics") <
+                         stream->data().find("\r\n");
+    stream->Consume(size);
+    std::string body;
+    if (metrics) {
+      body = m_context.metrics.Text();
+    }
+    std::string head = metrics || m_is_ready()
+                           ? "HTTP/1.1 200 OK\r\n"
+                           : "HTTP/1.1 503 Service Unavailable\r\n";
+    head.append("Content-Length: ")
+        .append(std::to_string(body.size()))
+        .append("\r\n\r\n");
+    std::size_t written = 0;
+    error = co_await stream->Write(
+        {boost::asio::buffer(head), boost::asio::buffer(body), {}, {}},
+        written);
+    open = !error;
+  }
+  timer->Close();
+  stream->Close();
+}
+
+void GatewayServer::CloseListeners() {
+  error_code ignored;
+  m_callers.close(ignored);
+}
+
+void GatewayServer::CloseIdle() {
+  const std::vector<GatewaySession*> sessions(m_context.sessions.begin(),
+                                              m_context.sessions.end());
+  for (GatewaySession* session : sessions) {
+    session->CloseIfIdle();
+  }
+}
+
+int GatewayServer::busy() const {
+  int count = 0;
+  for (const GatewaySession* session : m_context.sessions) {
+    count += session->busy() ? 1 : 0;
+  }
+  return count;
+}
+
+void GatewayServer::Stop() {
+  CloseListeners();
+  error_code ignored;
+  m_questions.close(ignored);
+  m_context.pools.CloseIdle();
+}
+
+}  // namespace snipehall
--- /dev/null
+++ b/src/transport/gateway/gateway_services.cc
@@ -0,0 +1,65 @@
+#include "transport/gateway/gateway_services.h"
+
+#include <algorithm>
+
+namespace snipehall {
+
+namespace {
+
+// Requests run for up to some seconds; an endpoint is taken for frozen only
+// when all its work stands still for longer than that.
+constexpr Milliseconds kStallLimit{4000};
+
+}  // namespace
+
+GatewayServices::GatewayServices(const RoutingState& state,
+                                 ZoneName own_zone,
+                                 SharedRetryBudget::Limits retries,
+                                 std::uint64_t seed)
+    : m_state(state),
+      m_own_zone(std::move(own_zone)),
+      m_retries(retries),
+      m_seed(seed) {}
+
+GatewayService* GatewayServices::Find(MonotonicTime now,
+                                      std::string_view name) {
+  if (m_version != m_state.version()) {
+    Update(now);
+  }
+  const auto found = m_services.find(name);
+  return found == m_services.end() ? nullptr : found->second.get();
+}
+
+void GatewayServices::Update(MonotonicTime now) {
+  m_version = m_state.version();
+  if (!m_state.policy()) {
+    return;
+  }
+  // Services that the configuration dropped are kept: requests that began
+  // before still refer to them, and there are few.
+  for (const auto& [name, policy] : m_state.policy()->services()) {
+    std::vector<RouteTarget> targets;
+    int slots = 1;
+    for (const auto& [id, target] : m_state.targets()) {
+      if (target.service == name) {
+        targets.push_back({id, target.zone, target.address, target.leaving});
+        slots = std::max(slots, target.slots);
+      }
+    }
+    std::unique_ptr<GatewayService>& service = m_services[name];
+    if (!service) {
+      TargetChooserOptions options;
+      options.own_zone = m_own_zone;
+      options.slots_per_endpoint = slots;
+      options.seed = m_seed++;
+      options.stall_limit = kStallLimit;
+      service = std::make_unique<GatewayService>(
+          name, TargetChooser::Create(std::move(options)).value(),
+          SharedRetryBudget(m_retries));
+    }
+    service->chooser.SetTargets(now, targets);
+    service->targets = std::move(targets);
+  }
+}
+
+}  // namespace snipehall
--- /dev/null
+++ b/src/transport/gateway/gateway_settings.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <string>
+
+#include "coordination/shared_retry_budget.h"
+#include "state/types.h"
+
+namespace snipehall {
+
+// What a gateway learns about itself when it starts.
+struct GatewaySettings {
+  InstanceId instance;
+  ZoneName zone;
+  // "address:port" of the listeners for callers, and for readiness and metrics.
+  std::string caller_address;
+  std::string status_address;
+  // "address:port" of the platform's log.
+  std::string log_address;
+  // Retries that all instances may send; see SharedRetryBudget.
+  SharedRetryBudget::Limits retries;
+  // From the request to stop to the end of the process.
+  Milliseconds stop_time{6000};
+};
+
+}  // namespace snipehall
--- /dev/null
+++ b/src/transport/gateway/service_split.cc
@@ -0,0 +1,39 @@
+#include "transport/gateway/service_split.h"
+
+#include <algorithm>
+
+namespace snipehall {
+
+const ServiceName& ServiceSplit::Next(const Route& route) {
+  if (route.services.size() == 1) {
+    return route.services.front().service;
+  }
+  State& state = m_states[route.name];
+  if (state.services != route.services) {
+    state = NewState(route);
+  }
+  std::int64_t total = 0;
+  for (std::size_t i = 0; i < state.services.size(); ++i) {
+    state.credits[i] += state.services[i].weight;
+    total += state.services[i].weight;
+  }
+  const auto best =
+      std::max_element(state.credits.begin(), state.credits.end());
+  *best -= total;
+  return route.services[static_cast<std::size_t>(best - state.credits.begin())]
+      .service;
+}
+
+// Begins at a random point, so that instances that start together do not
+// choose in step.
+ServiceSplit::State ServiceSplit::NewState(const Route& route) {
+  State state;
+  state.services = route.services;
+  for (const WeightedService& item : route.services) {
+    state.credits.push_back(
+        static_cast<std::int64_t>(m_random() % (item.weight + 1)));
+  }
+  return state;
+}
+
+}  // namespace snipehall
--- a/src/transport/http_connection.cc
+++ b/src/transport/http_connection.cc
@@ -1,7 +1,9 @@
 #include "transport/http_connection.h"
 
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -51,12 +53,39 @@
   return size >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+// Limit of the time for a connection: a machine that does not answer at all
+// must not use up the deadline of a call that waits long.
+constexpr Milliseconds kConnectLimit{1000};
+
+// A peer that is gone without a word is noticed by unanswered probes within
+// about three seconds, also while an answer is awaited for long.
+constexpr int kProbeIdleSeconds = 1;
+constexpr int kProbeIntervalSeconds = 1;
+constexpr int kProbeCount = 2;
+constexpr int kUnansweredMs = 2500;
+
+void SetSocketOption(int socket, int level, int name, int value) {
+  // Without the option the call's own deadline still ends it.
+  ::setsockopt(socket, level, name, &value, sizeof(value));
+}
+
+void ProbeConnection(int socket) {
+  SetSocketOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetSocketOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, kProbeIdleSeconds);
+  SetSocketOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, kProbeIntervalSeconds);
+  SetSocketOption(socket, IPPROTO_TCP, TCP_KEEPCNT, kProbeCount);
+  SetSocketOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, kUnansweredMs);
+}
+
 http::request<http::string_body> MakeRequest(const HttpCall& call,
                                              const std::string& address) {
   http::request<http::string_body> request(call.verb, call.path, 11);
   request.set(http::field::host, address);
+  for (const auto& [name, value] : call.headers) {
+    request.set(name, value);
+  }
   if (call.verb == http::verb::post) {
-    request.set(http::field::content_type, "application/json");
+    request.set(http::field::content_type, call.content_type);
     request.body() = call.body;
     request.prepare_payload();
   }
@@ -112,13 +141,15 @@
   auto stream = std::make_shared<Stream>(m_executor);
   m_stream = stream;
   m_buffer.clear();
-  stream->expires_at(deadline);
+  stream->expires_at(
+      std::min(deadline, std::chrono::steady_clock::now() + kConnectLimit));
   const auto [error] = co_await stream->async_connect(endpoint.value(), kAwait);
   if (error) {
     co_return Failure(m_address, error);
   }
   beast::error_code ignored;
   stream->socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+  ProbeConnection(stream->socket().native_handle());
   co_return stream;
 }
 
@@ -163,8 +194,10 @@
   }
   stream->expires_never();
   reply.status = parser.get().result_int();
+  const bool keep_alive = parser.get().keep_alive();
   reply.body = std::move(parser.get().body());
-  if (!parser.get().keep_alive() && m_stream == stream) {
+  reply.headers = std::move(parser.get().base());
+  if (!keep_alive && m_stream == stream) {
     Disconnect();
   }
   co_return reply;
--- a/src/transport/http_connection.h
+++ b/src/transport/http_connection.h
@@ -5,11 +5,14 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/verb.hpp>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "state/result.h"
 #include "state/types.h"
@@ -21,8 +24,11 @@
   boost::beast::http::verb verb = boost::beast::http::verb::get;
   // Path and query.
   std::string path;
-  // JSON; sent with POST only.
+  // Sent with POST only.
   std::string body;
+  std::string content_type = "application/json";
+  // Further headers, by name.
+  std::vector<std::pair<std::string, std::string>> headers = {};
   // Whether the request may be sent again after a kept connection turned out
   // to be closed.
   bool repeatable = true;
@@ -33,6 +39,13 @@
   MonotonicTime sent;
   unsigned status = 0;
   std::string body;
+  boost::beast::http::fields headers = {};
+
+  // The value of a header; empty without one.
+  std::string Header(const char* name) const {
+    const auto value = headers[name];
+    return {value.data(), value.size()};
+  }
 };
 
 // Counts the bytes of HTTP messages in both directions.
