Balance busy keys; wait for a hold where a connection is refused

Change 1: instances report keys and answer times to the lead in datagrams; KeyBalancer moves the part of a range that closes half of the gap between the fullest and the emptiest target. Change 2: only a new start or another target at the address proves an end; else the hold must lapse. It is 4 s instead of 8 s now, and 9.8 s while the log is silent. Tests: key_lead_test, 8 cases. Ruled out: moving whole ranges by number of keys, which does not follow the load.

--- a/src/coordination/key_lead.cc
+++ b/src/coordination/key_lead.cc
@@ -2,13 +2,15 @@
 
 #include <algorithm>
 
+#include "coordination/key_balancer.h"
+
 namespace snipehall {
 
 namespace {
 
 // The longest time that a hold can last on a slow clock.
-Milliseconds LongestHold() {
-  return std::chrono::ceil<Milliseconds>(KeyLead::kHold * KeyLead::kDrift);
+Milliseconds LongestHold(Milliseconds hold) {
+  return std::chrono::ceil<Milliseconds>(hold * KeyLead::kDrift);
 }
 
 }  // namespace
@@ -20,11 +22,12 @@
   if (!IsNamedLead()) {
     m_ranges.clear();
     m_held_until.clear();
+    m_grants_in_flight.clear();
     m_next_probe.clear();
     return;
   }
   if (!was_lead) {
-    m_earlier_until = now + kLeadLease + kOrderLimit + LongestHold();
+    m_earlier_until = now + kLeadLease + kOrderLimit + LongestHold(kLongHold);
   }
   std::map<RangeId, RangeState> ranges;
   for (const auto& [service, assignments] : m_table.services) {
@@ -35,6 +38,7 @@
         state = known->second;
       }
       state.fence = item.fence;
+      state.last = item.last;
       ranges.emplace(RangeId(service, item.first), std::move(state));
     }
   }
@@ -63,56 +67,49 @@
   m_services = std::move(services);
 }
 
-void KeyLead::OnTargetDead(MonotonicTime now, std::string_view target) {
-  const auto listed = m_targets.find(target);
-  const std::int64_t born =
-      listed == m_targets.end() ? 0 : listed->second.born_ms;
-  m_dead.insert_or_assign(TargetId(target), std::pair(born, now + kDeadTime));
+void KeyLead::OnTargetUnreachable(MonotonicTime now, std::string_view target) {
+  if (IsNamedLead()) {
+    m_next_probe.emplace(target, now);
+  }
 }
 
-bool KeyLead::IsDead(MonotonicTime now, std::string_view target) const {
-  const auto found = m_dead.find(target);
-  if (found == m_dead.end()) {
+bool KeyLead::IsGone(std::string_view target) const {
+  const auto gone = m_gone.find(target);
+  if (gone == m_gone.end()) {
     return false;
   }
-  const auto listed = m_targets.find(target);
-  const bool same_process = listed == m_targets.end() ||
-                            listed->second.born_ms == found->second.first;
-  return same_process &&
-         (listed == m_targets.end() || now < found->second.second);
+  const ListedTarget* known = FindKnown(target);
+  return known == nullptr || known->born_ms == gone->second;
 }
 
-const ListedTarget* KeyLead::FindAlive(MonotonicTime now,
-                                       std::string_view target) const {
+const ListedTarget* KeyLead::FindKnown(std::string_view target) const {
   const auto found = m_known.find(target);
-  if (found == m_known.end() || IsDead(now, target)) {
-    return nullptr;
-  }
-  return &found->second;
+  return found == m_known.end() ? nullptr : &found->second;
 }
 
-bool KeyLead::MayHold(MonotonicTime now, const KeyAssignment& range) const {
-  if (IsDead(now, range.owner)) {
-    return false;
-  }
-  const auto listed = m_targets.find(range.owner);
-  if (listed != m_targets.end() &&
-      listed->second.born_ms != range.owner_born_ms) {
-    return false;
-  }
-  if (now < m_earlier_until) {
+bool KeyLead::IsHeld(MonotonicTime now, std::string_view target) const {
+  const auto in_flight = m_grants_in_flight.find(target);
+  if (now < m_earlier_until ||
+      (in_flight != m_grants_in_flight.end() && in_flight->second > 0)) {
     return true;
   }
-  const auto held = m_held_until.find(range.owner);
+  const auto held = m_held_until.find(target);
   return held != m_held_until.end() && now < held->second;
 }
 
+bool KeyLead::MayHold(MonotonicTime now, const KeyAssignment& range) const {
+  const ListedTarget* known = FindKnown(range.owner);
+  const bool same_process =
+      known == nullptr || known->born_ms == range.owner_born_ms;
+  return same_process && !IsGone(range.owner) && IsHeld(now, range.owner);
+}
+
 std::vector<KeyCandidate> KeyLead::Candidates(MonotonicTime now,
                                               std::string_view service) const {
   std::vector<KeyCandidate> result;
   for (const auto& [id, target] : m_targets) {
-    if (target.service == service && !target.leaving && !IsDead(now, id)) {
-      result.push_back({id, target.born_ms});
+    if (target.service == service && !target.leaving && !IsGone(id)) {
+      result.push_back({id, target.born_ms, target.slots});
     }
   }
   return result;
@@ -134,23 +131,11 @@
     ranges = PlanFirstKeys(candidates, next.fence);
     return true;
   }
-  // A silent target gets no keys, and loses those that it held once its last
-  // grant has lapsed.
-  std::vector<KeyCandidate> answering;
-  for (const KeyCandidate& item : candidates) {
-    const bool holds =
-        std::any_of(ranges.begin(), ranges.end(), [&](const auto& range) {
-          return range.owner == item.id && MayHold(now, range);
-        });
-    if (!IsSilent(item.id) || holds) {
-      answering.push_back(item);
-    }
-  }
   const auto may_hold = [this, now](const KeyAssignment& range) {
     return MayHold(now, range);
   };
-  std::vector<KeyAssignment> planned =
-      PlanKeys(ranges, answering, may_hold, next.fence);
+  std::vector<KeyAssignment> planned = PlanKeys(
+      ranges, AnsweringCandidates(now, service, ranges), may_hold, next.fence);
   if (planned == ranges) {
     return false;
   }
@@ -158,6 +143,42 @@
   return true;
 }
 
+// A silent target gets no keys, and loses those that it held once its last
+// grant has lapsed.
+std::vector<KeyCandidate> KeyLead::AnsweringCandidates(
+    MonotonicTime now,
+    std::string_view service,
+    std::span<const KeyAssignment> ranges) const {
+  std::vector<KeyCandidate> result = Candidates(now, service);
+  std::erase_if(result, [&](const KeyCandidate& item) {
+    return IsSilent(item.id) &&
+           std::none_of(ranges.begin(), ranges.end(), [&](const auto& range) {
+             return range.owner == item.id && MayHold(now, range);
+           });
+  });
+  return result;
+}
+
+bool KeyLead::BalanceService(MonotonicTime now,
+                             const ServiceName& service,
+                             KeyTable& next) const {
+  const auto load = m_loads.find(service);
+  const auto ranges = next.services.find(service);
+  if (load == m_loads.end() || ranges == next.services.end()) {
+    return false;
+  }
+  std::vector<KeyCandidate> candidates = Candidates(now, service);
+  std::erase_if(candidates,
+                [this](const KeyCandidate& item) { return IsSilent(item.id); });
+  std::vector<KeyAssignment> planned = KeyBalancer::Plan(
+      now, ranges->second, candidates, load->second, next.fence);
+  if (planned == ranges->second) {
+    return false;
+  }
+  ranges->second = std::move(planned);
+  return true;
+}
+
 std::optional<KeyTable> KeyLead::NextTable(MonotonicTime now, bool take_over) {
   if (!IsLead(now)) {
     if (!take_over || IsNamedLead()) {
@@ -165,6 +186,7 @@
     }
     KeyTable next = m_table;
     next.lead = m_self;
+    next.lead_address = m_address;
     return next;
   }
   KeyTable next = m_table;
@@ -181,6 +203,12 @@
   for (const ServiceName& service : m_services) {
     changed = PlanService(now, service, next) || changed;
   }
+  if (now >= m_balance_at) {
+    m_balance_at = now + kBalanceInterval;
+    for (const ServiceName& service : m_services) {
+      changed = BalanceService(now, service, next) || changed;
+    }
+  }
   if (!changed) {
     return std::nullopt;
   }
@@ -190,14 +218,8 @@
 bool KeyLead::ReadyToGrant(MonotonicTime now,
                            const KeyAssignment& range,
                            const RangeState& state) const {
-  if (!range.moving() || state.released || IsDead(now, range.previous)) {
-    return true;
-  }
-  if (now < m_earlier_until) {
-    return false;
-  }
-  const auto held = m_held_until.find(range.previous);
-  return held == m_held_until.end() || now >= held->second;
+  return !range.moving() || state.released || IsGone(range.previous) ||
+         !IsHeld(now, range.previous);
 }
 
 std::vector<KeyOrder> KeyLead::TakeOrders(MonotonicTime now) {
@@ -217,7 +239,7 @@
       order.fence = item.fence;
       const bool grants = ReadyToGrant(now, item, state);
       const ListedTarget* target =
-          FindAlive(now, grants ? item.owner : item.previous);
+          FindKnown(grants ? item.owner : item.previous);
       if (target == nullptr ||
           (grants &&
            (target->born_ms != item.owner_born_ms || IsSilent(item.owner)))) {
@@ -227,9 +249,9 @@
       order.target = target->id;
       order.address = target->address;
       if (grants) {
-        order.hold = kHold;
+        order.hold = now < m_confirmed_at + kLogSilence ? kHold : kLongHold;
         order.handover = state.granted ? std::string() : state.handover;
-        NoteGrant(order.target, now + kOrderLimit + LongestHold());
+        ++m_grants_in_flight[order.target];
       }
       state.in_flight = true;
       orders.push_back(std::move(order));
@@ -259,10 +281,13 @@
                          KeyOrderOutcome outcome) {
   switch (outcome) {
     case KeyOrderOutcome::kUnknown:
+    case KeyOrderOutcome::kNotSent:
       m_next_probe.insert_or_assign(TargetId(target), now + kProbeInterval);
       return;
-    case KeyOrderOutcome::kDead:
-      OnTargetDead(now, target);
+    case KeyOrderOutcome::kGone:
+      if (const ListedTarget* known = FindKnown(target)) {
+        m_gone.insert_or_assign(known->id, known->born_ms);
+      }
       break;
     default:
       break;
@@ -273,9 +298,18 @@
   }
 }
 
-void KeyLead::NoteGrant(std::string_view target, MonotonicTime until) {
-  MonotonicTime& held = m_held_until[TargetId(target)];
-  held = std::max(held, until);
+void KeyLead::NoteGrantEnd(MonotonicTime now,
+                           const KeyOrder& order,
+                           KeyOrderOutcome outcome) {
+  const auto in_flight = m_grants_in_flight.find(order.target);
+  if (in_flight != m_grants_in_flight.end() && in_flight->second > 0) {
+    --in_flight->second;
+  }
+  if (outcome == KeyOrderOutcome::kDone ||
+      outcome == KeyOrderOutcome::kUnknown) {
+    MonotonicTime& held = m_held_until[order.target];
+    held = std::max(held, now + LongestHold(order.hold));
+  }
 }
 
 void KeyLead::OnOrderDone(MonotonicTime now,
@@ -285,6 +319,9 @@
   if (order.kind == KeyOrder::Kind::kProbe) {
     return;
   }
+  if (order.kind == KeyOrder::Kind::kGrant) {
+    NoteGrantEnd(now, order, result.outcome);
+  }
   for (auto& [id, state] : m_ranges) {
     if (id.second != order.first || state.fence != order.fence) {
       continue;
@@ -303,7 +340,8 @@
         }
         break;
       case KeyOrderOutcome::kFenced:
-        state.fenced = true;
+        // A grant that was sent before a part of its range was moved away.
+        state.fenced = order.last == state.last;
         break;
       default:
         break;
--- a/src/coordination/key_lead.h
+++ b/src/coordination/key_lead.h
@@ -3,10 +3,12 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "coordination/key_load.h"
 #include "coordination/key_planner.h"
 #include "state/key_table.h"
 #include "state/target_list.h"
@@ -41,7 +43,9 @@
   kDone,
   kFenced,    // The target has seen a greater token.
   kRejected,  // It answered with another failure, so it has not obeyed.
-  kDead,      // The connection was refused: the target's process is gone.
+  kGone,      // Another target answered at the address: this one has ended.
+  kNotSent,   // No connection could be made. A cut link looks like an ended
+              // process, so this proves nothing about the target.
   kUnknown,   // It may have been obeyed, or may yet be.
 };
 
@@ -58,8 +62,8 @@
 // - Each version of the table is appended on condition that no other version
 //   came since, and tokens only grow from version to version.
 // - The lead grants keys to a new owner only when the previous one has
-//   answered a release that carries the new token, when its process is known
-//   to be gone, or when every grant that any lead can have sent it has lapsed.
+//   answered a release that carries the new token, when it has started anew or
+//   ended, or when every grant that any lead can have sent it has lapsed.
 // - A lead sends orders only while its last read of the log that confirmed it
 //   is younger than kLeadLease; a new lead counts the grants of its predecessor
 //   from kLeadLease after its own append.
@@ -68,15 +72,23 @@
   // How long a confirmation lasts. Longer than two of the lead's reads of the
   // log, so that one slow read does not stop it.
   static constexpr Milliseconds kLeadLease{2500};
-  // Hold of a grant: longer than a lead takes to be replaced, and than the
-  // usual cut of a zone or outage of the log.
-  static constexpr Milliseconds kHold{8000};
+  // Hold of a grant: about what a new lead takes to be in office. Keys of a
+  // lost target wait for its end.
+  static constexpr Milliseconds kHold{4000};
+  // Hold while the log does not answer: as long as the platform allows, less a
+  // reserve, since no other lead can follow until the log is back.
+  static constexpr Milliseconds kLongHold{9800};
+  // Age of the lead's confirmation from which on the log counts as silent:
+  // longer than a read of the log waits.
+  static constexpr Milliseconds kLogSilence{1300};
   // Time between two grants of the same keys.
-  static constexpr Milliseconds kRenewal{1500};
+  static constexpr Milliseconds kRenewal{1200};
   // An order that failed is repeated after this long.
   static constexpr Milliseconds kRetry{300};
   // Time between two probes of a silent target.
   static constexpr Milliseconds kProbeInterval{500};
+  // Time between two plans that balance the load of keys.
+  static constexpr Milliseconds kBalanceInterval{500};
   // A target's clock may run 2% slow, as the platform states.
   static constexpr double kDrift = 1.02;
   // Time an order may be on its way.
@@ -84,11 +96,11 @@
   // The list of targets must not have changed for this long before the first
   // keys of a service are assigned, so that no target is left out.
   static constexpr Milliseconds kSettleTime{1200};
-  // A target whose connection was refused is not trusted with keys for this
-  // long, unless it reports a new start.
-  static constexpr Milliseconds kDeadTime{3000};
 
-  explicit KeyLead(InstanceId self) : m_self(std::move(self)) {}
+  // `address` is where this instance takes reports of load while it is the
+  // lead.
+  KeyLead(InstanceId self, std::string address)
+      : m_self(std::move(self)), m_address(std::move(address)) {}
 
   // A new version of the table was read from the log, or appended by this
   // instance.
@@ -103,8 +115,13 @@
   // Services whose requests belong to keys.
   void SetKeyedServices(std::set<ServiceName, std::less<>> services);
 
-  // The data path found the process of a target gone.
-  void OnTargetDead(MonotonicTime now, std::string_view target);
+  // An instance, or this one, reported the load of keys.
+  void OnLoad(MonotonicTime now, const KeyLoadReport& report) {
+    m_loads[report.service].OnReport(now, report);
+  }
+
+  // The data path could not connect to a target.
+  void OnTargetUnreachable(MonotonicTime now, std::string_view target);
 
   // An order has ended.
   void OnOrderDone(MonotonicTime now,
@@ -131,6 +148,7 @@
   // What the lead knows of a range of the table.
   struct RangeState {
     FenceToken fence = 0;
+    KeyNumber last = 0;
     MonotonicTime next_order;
     bool in_flight = false;
     bool granted = false;
@@ -140,9 +158,8 @@
     std::string handover;
   };
 
-  const ListedTarget* FindAlive(MonotonicTime now,
-                                std::string_view target) const;
-  bool IsDead(MonotonicTime now, std::string_view target) const;
+  const ListedTarget* FindKnown(std::string_view target) const;
+  bool IsGone(std::string_view target) const;
   // Whether the target may still hold keys that it was granted.
   bool MayHold(MonotonicTime now, const KeyAssignment& range) const;
   std::vector<KeyCandidate> Candidates(MonotonicTime now,
@@ -157,12 +174,25 @@
   void NoteAnswer(MonotonicTime now,
                   std::string_view target,
                   KeyOrderOutcome outcome);
-  void NoteGrant(std::string_view target, MonotonicTime until);
+  // A grant to the target has ended.
+  void NoteGrantEnd(MonotonicTime now,
+                    const KeyOrder& order,
+                    KeyOrderOutcome outcome);
+  // Whether a grant by this lead may last, or be on its way.
+  bool IsHeld(MonotonicTime now, std::string_view target) const;
   bool PlanService(MonotonicTime now,
                    const ServiceName& service,
                    KeyTable& next) const;
+  bool BalanceService(MonotonicTime now,
+                      const ServiceName& service,
+                      KeyTable& next) const;
+  std::vector<KeyCandidate> AnsweringCandidates(
+      MonotonicTime now,
+      std::string_view service,
+      std::span<const KeyAssignment> ranges) const;
 
   InstanceId m_self;
+  std::string m_address;
   KeyTable m_table;
   bool m_has_table = false;
   MonotonicTime m_confirmed_at;
@@ -173,15 +203,19 @@
   MonotonicTime m_targets_changed_at;
   std::set<ServiceName, std::less<>> m_services;
   std::map<RangeId, RangeState> m_ranges;
-  // When the last grant that a target may have lapses.
+  std::map<ServiceName, KeyLoad, std::less<>> m_loads;
+  MonotonicTime m_balance_at;
+  // When the last grant that a target may have lapses, and the grants that are
+  // on their way.
   std::map<TargetId, MonotonicTime, std::less<>> m_held_until;
+  std::map<TargetId, int, std::less<>> m_grants_in_flight;
   // Targets that left an order unanswered, with the time of the next probe.
   // They get no grants until they answer, so that their last one lapses.
   std::map<TargetId, MonotonicTime, std::less<>> m_next_probe;
   // Until when grants of earlier leads may last.
   MonotonicTime m_earlier_until;
-  std::map<TargetId, std::pair<std::int64_t, MonotonicTime>, std::less<>>
-      m_dead;
+  // Targets that have ended, by the start of their process.
+  std::map<TargetId, std::int64_t, std::less<>> m_gone;
 };
 
 }  // namespace snipehall
--- a/src/coordination/key_planner.h
+++ b/src/coordination/key_planner.h
@@ -12,6 +12,8 @@
 struct KeyCandidate {
   TargetId id;
   std::int64_t born_ms = 0;
+  // Requests that it runs at a time.
+  int slots = 1;
 };
 
 // Assigns the keys of one service. Ranges whose owner is no candidate go to
--- a/src/coordination/shared_retry_budget.cc
+++ b/src/coordination/shared_retry_budget.cc
@@ -35,8 +35,8 @@
     requests += slice.requests;
     retries += slice.retries;
   }
-  const double allowed = m_limits.used_part * (m_limits.ratio * requests +
-                                               m_limits.base / m_instances);
+  const double allowed =
+      m_limits.used_part * (m_limits.ratio * requests + m_limits.base);
   if (retries + 1 > allowed) {
     return false;
   }
--- a/src/coordination/shared_retry_budget.h
+++ b/src/coordination/shared_retry_budget.h
@@ -15,7 +15,8 @@
   struct Limits {
     // Retries allowed for each request.
     double ratio = 0.2;
-    // Retries allowed in a window besides, over all instances.
+    // Retries allowed in a window besides. An instance's own part of what all
+    // instances share.
     double base = 0;
     Milliseconds window{10000};
     // Part of `ratio` and `base` that is used, so that counts which are off by
@@ -25,10 +26,6 @@
 
   explicit SharedRetryBudget(Limits limits) : m_limits(limits) {}
 
-  void set_instances(int instances) {
-    m_instances = instances < 1 ? 1 : instances;
-  }
-
   void OnRequest(MonotonicTime now);
 
   // Takes one retry; false when none is left in the window.
@@ -45,7 +42,6 @@
   Slice& Current(MonotonicTime now);
 
   Limits m_limits;
-  int m_instances = 1;
   std::deque<Slice> m_slices;
 };
 
--- a/src/state/key_table.h
+++ b/src/state/key_table.h
@@ -41,6 +41,8 @@
 struct KeyTable {
   // The instance that orders the targets; see KeyLead.
   InstanceId lead;
+  // "address:port" where the lead takes reports of load.
+  std::string lead_address;
   // Greatest fencing token that was used.
   FenceToken fence = 0;
   // Ordered by range, without gap or overlap.
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -10,6 +10,7 @@
 
 #include "transport/gateway/gateway_control.h"
 #include "transport/gateway/gateway_server.h"
+#include "transport/gateway/load_exchange.h"
 
 namespace snipehall {
 
@@ -39,6 +40,10 @@
                   m_state,
                   m_metrics,
                   m_log),
+        m_exchange(
+            io.get_executor(),
+            [this](const KeyLoadReport& report) { m_control.OnLoad(report); }),
+        m_report_timer(io),
         m_signals(io, SIGTERM, SIGINT),
         m_stop_timer(io) {}
 
@@ -48,8 +53,9 @@
                       GatewayServer::Create(m_context, m_settings, [this] {
                         return !m_context.draining && m_control.IsReady();
                       }));
-    m_context.on_target_dead = [this](std::string_view target) {
-      m_control.OnTargetDead(target);
+    BOOST_OUTCOME_TRY(m_exchange.Start(m_settings.peer_address));
+    m_context.on_target_unreachable = [this](std::string_view target) {
+      m_control.OnTargetUnreachable(target);
     };
     m_context.on_failed_request = [this](const FailedRequest& request) {
       LogFailure(request);
@@ -63,6 +69,7 @@
     m_log.Write("start", {{"zone", m_settings.zone}});
     m_server->Start();
     m_control.Start();
+    ScheduleReports();
     return boost::outcome_v2::success();
   }
 
@@ -71,6 +78,8 @@
   // until then it sends new connections.
   static constexpr Milliseconds kAcceptAfterStop{2600};
   static constexpr Milliseconds kStopTick{50};
+  // Time between two reports of load to the lead.
+  static constexpr Milliseconds kReportInterval{500};
   // Left of the time to stop when the process ends at the latest.
   static constexpr Milliseconds kStopReserve{300};
 
@@ -88,6 +97,26 @@
                  {"configuration", std::to_string(request.policy_version)}});
   }
 
+  void ScheduleReports() {
+    m_report_timer.expires_after(kReportInterval);
+    m_report_timer.async_wait([this](const boost::system::error_code& error) {
+      if (!error) {
+        SendReports();
+        ScheduleReports();
+      }
+    });
+  }
+
+  void SendReports() {
+    for (const KeyLoadReport& report : m_context.key_loads.TakeReports()) {
+      if (m_control.IsNamedLead()) {
+        m_control.OnLoad(report);
+      } else if (!m_state.keys().lead_address.empty()) {
+        m_exchange.Send(m_state.keys().lead_address, report);
+      }
+    }
+  }
+
   void BeginStop() {
     m_log.Write("stop", {{"busy", std::to_string(m_server->busy())}});
     m_server->BeginDrain();
@@ -105,6 +134,8 @@
         m_log.Write("stopped", {{"busy", std::to_string(m_server->busy())}});
         m_server->Stop();
         m_control.Stop();
+        m_exchange.Close();
+        m_report_timer.cancel();
         m_context.executor.context().stop();
         return;
       }
@@ -124,6 +155,8 @@
   GatewayContext m_context;
   GatewayControl<Platform> m_control;
   std::unique_ptr<GatewayServer> m_server;
+  LoadExchange m_exchange;
+  boost::asio::steady_timer m_report_timer;
   boost::asio::signal_set m_signals;
   boost::asio::steady_timer m_stop_timer;
   MonotonicTime m_accept_until;
--- a/src/transport/gateway/gateway_context.h
+++ b/src/transport/gateway/gateway_context.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "coordination/key_load_recorder.h"
 #include "protocol/gateway_headers.h"
 #include "transport/gateway/gateway_metrics.h"
 #include "transport/gateway/gateway_services.h"
@@ -56,9 +57,10 @@
   GatewayServices services;
   ServiceSplit split;
   TargetPools pools;
+  KeyLoadRecorder key_loads;
   std::set<GatewaySession*> sessions;
-  // Called with a target whose process is gone.
-  std::function<void(std::string_view target)> on_target_dead;
+  // Called with an owner of keys that cannot be reached.
+  std::function<void(std::string_view target)> on_target_unreachable;
   std::function<void(const FailedRequest&)> on_failed_request;
   // The instance stops: connections end after their next answer.
   bool draining = false;
--- a/src/transport/gateway/gateway_control.h
+++ b/src/transport/gateway/gateway_control.h
@@ -75,7 +75,7 @@
         m_state(state),
         m_metrics(metrics),
         m_log(log),
-        m_lead(settings.instance),
+        m_lead(settings.instance, settings.peer_address),
         m_append_log(platform.NewLog()),
         m_lead_timer(m_executor),
         m_duty_timer(m_executor),
@@ -114,12 +114,20 @@
     return true;
   }
 
-  // A connection to the target was refused.
-  void OnTargetDead(std::string_view target) {
-    m_lead.OnTargetDead(Now(), target);
+  // No connection to the target could be made.
+  void OnTargetUnreachable(std::string_view target) {
+    m_lead.OnTargetUnreachable(Now(), target);
     WakeLead();
   }
 
+  // Load that an instance, or this one, has seen.
+  void OnLoad(const KeyLoadReport& report) {
+    if (m_lead.IsNamedLead()) {
+      m_lead.OnLoad(Now(), report);
+    }
+  }
+  bool IsNamedLead() const { return m_lead.IsNamedLead(); }
+
   // Gives up the duty, so that another instance takes it over at once.
   void BeginDrain() {
     m_draining = true;
--- a/src/transport/gateway/gateway_router.cc
+++ b/src/transport/gateway/gateway_router.cc
@@ -40,6 +40,9 @@
     next = Fail(400, "no key");
   } else {
     m_service->retries.OnRequest(now);
+    if (m_keyed) {
+      m_context.key_loads.OnRequest(name, *m_request.info.key);
+    }
   }
   while (next == Next::kAgain) {
     if (m_request.interrupted()) {
@@ -121,6 +124,7 @@
     co_return next;
   }
   ++m_attempts;
+  const MonotonicTime sent = Now();
   TargetExchange exchange(m_request, *stream, m_context.names);
   const TargetExchangeEnd end =
       co_await exchange.Run(m_target.id, m_request.deadline);
@@ -131,6 +135,7 @@
   switch (end) {
     case TargetExchangeEnd::kAnswered:
       chooser.OnAnswered(Now(), m_target.id, exchange.info().load);
+      NoteTime(exchange, sent);
       co_return Finish(exchange);
     case TargetExchangeEnd::kRefused:
       chooser.OnFailed(Now(), m_target.id);
@@ -152,6 +157,17 @@
   co_return AfterInterrupt();
 }
 
+void GatewayRouter::NoteTime(const TargetExchange& exchange,
+                             MonotonicTime sent) {
+  const auto& load = exchange.info().load;
+  // With free slots left, the time is that of the work alone.
+  if (m_keyed && load && load->outstanding < load->slots) {
+    m_context.key_loads.OnAnswer(
+        m_service->name, m_target.id,
+        std::chrono::duration_cast<Milliseconds>(Now() - sent));
+  }
+}
+
 Task<bool> GatewayRouter::Connect(TargetPool& pool, ByteStream& stream) {
   m_request.target = &stream;
   m_request.LimitStep(Now() + kConnectLimit);
@@ -160,8 +176,8 @@
   m_request.target = nullptr;
   const bool expired = m_request.step_expired();
   m_request.EndStep();
-  if (error == boost::asio::error::connection_refused && m_keyed) {
-    m_context.on_target_dead(m_target.id);
+  if (m_keyed && (error || expired) && !m_request.interrupted()) {
+    m_context.on_target_unreachable(m_target.id);
   }
   if (error || expired) {
     m_context.metrics.Count("connect_failed");
--- a/src/transport/gateway/gateway_router.h
+++ b/src/transport/gateway/gateway_router.h
@@ -44,6 +44,8 @@
   bool ChooseOwner(MonotonicTime now);
   Task<Next> Attempt();
   Task<bool> Connect(TargetPool& pool, ByteStream& stream);
+  // Records how long a keyed service's target worked.
+  void NoteTime(const TargetExchange& exchange, MonotonicTime sent);
   Next AfterRefusal(const TargetExchange& exchange);
   Next AfterLost();
   Next Finish(TargetExchange& exchange);
--- a/src/transport/gateway/gateway_settings.h
+++ b/src/transport/gateway/gateway_settings.h
@@ -14,6 +14,8 @@
   // "address:port" of the listeners for callers, and for readiness and metrics.
   std::string caller_address;
   std::string status_address;
+  // "address:port" where other instances' datagrams arrive.
+  std::string peer_address;
   // "address:port" of the platform's log.
   std::string log_address;
   // Retries that all instances may send; see SharedRetryBudget.
--- /dev/null
+++ b/tests/unit/key_lead_test.cc
@@ -0,0 +1,243 @@
+#include "coordination/key_lead.h"
+
+#include <algorithm>
+
+#include <criterion/criterion.h>
+
+namespace snipehall {
+namespace {
+
+constexpr const char* kService = "catalog";
+
+// A lead with targets that are played by the test.
+class LeadFixture {
+ public:
+  LeadFixture() : m_lead("entry-1", "127.0.0.1:7000") {
+    m_lead.SetKeyedServices({kService});
+  }
+
+  void AddTarget(const TargetId& id, std::int64_t born_ms = 1) {
+    ListedTarget target;
+    target.id = id;
+    target.service = kService;
+    target.address = "127.0.0.1:8000";
+    target.born_ms = born_ms;
+    m_targets.insert_or_assign(id, target);
+    m_lead.OnTargets(m_now, m_targets);
+  }
+  void RemoveTarget(const TargetId& id) {
+    m_targets.erase(id);
+    m_lead.OnTargets(m_now, m_targets);
+  }
+  void SetLeaving(const TargetId& id) {
+    m_targets[id].leaving = true;
+    m_lead.OnTargets(m_now, m_targets);
+  }
+
+  void Advance(Milliseconds time) {
+    m_now += time;
+    m_lead.OnConfirmed(m_now);
+  }
+  void AdvanceWithoutLog(Milliseconds time) { m_now += time; }
+
+  // Appends what the lead wants to append.
+  bool Append(bool take_over = false) {
+    auto next = m_lead.NextTable(m_now, take_over);
+    if (!next) {
+      return false;
+    }
+    m_lead.OnTable(m_now, *std::move(next));
+    m_lead.OnConfirmed(m_now);
+    return true;
+  }
+
+  std::vector<KeyOrder> TakeOrders() { return m_lead.TakeOrders(m_now); }
+  void Finish(const KeyOrder& order,
+              KeyOrderOutcome outcome,
+              std::string handover = {}) {
+    m_lead.OnOrderDone(m_now, order, {outcome, std::move(handover)});
+  }
+  void FinishAll(KeyOrderOutcome outcome) {
+    for (const KeyOrder& order : TakeOrders()) {
+      Finish(order, outcome);
+    }
+  }
+
+  // Takes the lead, assigns and grants the keys to two targets.
+  void Settle() {
+    AddTarget("a");
+    AddTarget("b");
+    Advance(KeyLead::kSettleTime);
+    cr_assert(Append(true));
+    cr_assert(Append());
+    FinishAll(KeyOrderOutcome::kDone);
+    // Grants of earlier leads have lapsed from here on.
+    for (int i = 0; i < 20; ++i) {
+      Advance(Milliseconds(1000));
+      Append();
+      FinishAll(KeyOrderOutcome::kDone);
+    }
+  }
+
+  KeyLead& lead() { return m_lead; }
+  MonotonicTime now() const { return m_now; }
+  const KeyAssignment& Range(std::size_t index) {
+    return m_lead.table().services.at(kService)[index];
+  }
+  std::size_t ranges() { return m_lead.table().services.at(kService).size(); }
+
+ private:
+  KeyLead m_lead;
+  TargetList m_targets;
+  MonotonicTime m_now = MonotonicTime(std::chrono::hours(1));
+};
+
+Test(key_lead, assigns_all_keys_once_targets_are_known) {
+  LeadFixture fixture;
+  fixture.Settle();
+  cr_assert_eq(fixture.ranges(), 2);
+  cr_assert_eq(fixture.Range(0).first, 0);
+  cr_assert_eq(fixture.Range(1).last, kLastKey);
+  cr_assert_lt(fixture.Range(0).fence, fixture.Range(1).fence);
+}
+
+// Guards against two owners: a refused connection may be a cut link.
+Test(key_lead, unreachable_owner_keeps_its_keys_until_its_hold_has_lapsed) {
+  LeadFixture fixture;
+  fixture.Settle();
+  fixture.Advance(KeyLead::kRenewal);
+  for (const KeyOrder& order : fixture.TakeOrders()) {
+    fixture.Finish(order, order.target == "a" ? KeyOrderOutcome::kNotSent
+                                              : KeyOrderOutcome::kDone);
+  }
+  const MonotonicTime lapse =
+      fixture.now() - KeyLead::kRenewal + KeyLead::kHold;
+  while (fixture.now() + Milliseconds(100) < lapse) {
+    fixture.Advance(Milliseconds(100));
+    fixture.Append();
+    for (const KeyOrder& order : fixture.TakeOrders()) {
+      const bool to_a = order.target == "a";
+      cr_assert(!to_a || order.kind == KeyOrder::Kind::kProbe);
+      cr_assert(order.kind != KeyOrder::Kind::kGrant || order.first > 0,
+                "keys of a were granted before its hold lapsed");
+      fixture.Finish(order,
+                     to_a ? KeyOrderOutcome::kNotSent : KeyOrderOutcome::kDone);
+    }
+  }
+  fixture.Advance(Milliseconds(1000));
+  cr_assert(fixture.Append());
+  for (std::size_t i = 0; i < fixture.ranges(); ++i) {
+    cr_assert_eq(fixture.Range(i).owner, "b");
+  }
+}
+
+// Guards against a grant before the earlier owner has let go.
+Test(key_lead, leaving_owner_is_released_before_the_next_is_granted) {
+  LeadFixture fixture;
+  fixture.Settle();
+  fixture.SetLeaving("a");
+  cr_assert(fixture.Append());
+  cr_assert(fixture.Range(0).moving());
+  const std::vector<KeyOrder> orders = fixture.TakeOrders();
+  const auto release =
+      std::find_if(orders.begin(), orders.end(), [](const KeyOrder& order) {
+        return order.kind == KeyOrder::Kind::kRelease;
+      });
+  cr_assert(release != orders.end());
+  cr_assert_eq(release->target, "a");
+  cr_assert_eq(release->fence, fixture.Range(0).fence);
+  for (const KeyOrder& order : orders) {
+    cr_assert(order.first != release->first ||
+              order.kind == KeyOrder::Kind::kRelease);
+  }
+  fixture.Finish(*release, KeyOrderOutcome::kDone, "state-of-a");
+  const std::vector<KeyOrder> grants = fixture.TakeOrders();
+  const auto grant = std::find_if(
+      grants.begin(), grants.end(),
+      [&](const KeyOrder& order) { return order.first == release->first; });
+  cr_assert(grant != grants.end());
+  cr_assert_eq(grant->target, "b");
+  cr_assert_eq(grant->handover, "state-of-a");
+  fixture.Finish(*grant, KeyOrderOutcome::kDone);
+  cr_assert(fixture.Append());
+  cr_assert_not(fixture.Range(0).moving());
+}
+
+// Guards against a lead that was replaced while it could not read the log.
+Test(key_lead, lead_without_confirmation_orders_nothing) {
+  LeadFixture fixture;
+  fixture.Settle();
+  fixture.AdvanceWithoutLog(KeyLead::kLeadLease);
+  cr_assert(fixture.TakeOrders().empty());
+  cr_assert_not(fixture.Append());
+}
+
+// Guards against keys that lapse in an outage of the log.
+Test(key_lead, holds_are_long_while_the_log_is_silent) {
+  LeadFixture fixture;
+  fixture.Settle();
+  fixture.AdvanceWithoutLog(KeyLead::kLogSilence);
+  const std::vector<KeyOrder> orders = fixture.TakeOrders();
+  cr_assert_not(orders.empty());
+  for (const KeyOrder& order : orders) {
+    cr_assert(order.hold == KeyLead::kLongHold);
+  }
+}
+
+// Guards against a new lead that does not know what its predecessor granted.
+Test(key_lead, new_lead_waits_for_grants_of_its_predecessor) {
+  LeadFixture fixture;
+  fixture.Settle();
+  KeyTable other = fixture.lead().table();
+  other.lead = "entry-2";
+  fixture.lead().OnTable(fixture.now(), other);
+  cr_assert(fixture.TakeOrders().empty());
+  fixture.Advance(Milliseconds(100));
+  cr_assert(fixture.Append(true));
+  const MonotonicTime end =
+      fixture.now() + KeyLead::kLeadLease + KeyLead::kLongHold;
+  while (fixture.now() < end) {
+    fixture.Advance(Milliseconds(500));
+    fixture.Append();
+    for (const KeyOrder& order : fixture.TakeOrders()) {
+      cr_assert(order.kind != KeyOrder::Kind::kGrant || order.first > 0 ||
+                order.target == "a");
+      fixture.Finish(order, order.target == "a" ? KeyOrderOutcome::kUnknown
+                                                : KeyOrderOutcome::kDone);
+    }
+  }
+}
+
+// Guards against a new process that is taken for the one that held the keys.
+Test(key_lead, restarted_owner_gets_a_greater_token) {
+  LeadFixture fixture;
+  fixture.Settle();
+  const FenceToken before = fixture.Range(0).fence;
+  fixture.AddTarget("a", 2);
+  cr_assert(fixture.Append());
+  cr_assert_eq(fixture.Range(0).owner, "a");
+  cr_assert_gt(fixture.Range(0).fence, before);
+  cr_assert_not(fixture.Range(0).moving());
+}
+
+// Guards against an owner that stops being renewed because a grant of its
+// whole range crossed the release of a part.
+Test(key_lead, refused_grant_of_a_former_range_does_not_stop_renewals) {
+  LeadFixture fixture;
+  fixture.Settle();
+  fixture.Advance(KeyLead::kRenewal);
+  const std::vector<KeyOrder> orders = fixture.TakeOrders();
+  fixture.AddTarget("c");
+  cr_assert(fixture.Append());
+  for (const KeyOrder& order : orders) {
+    fixture.Finish(order, KeyOrderOutcome::kFenced);
+  }
+  fixture.Advance(KeyLead::kRetry);
+  const std::vector<KeyOrder> again = fixture.TakeOrders();
+  cr_assert(std::any_of(again.begin(), again.end(), [](const KeyOrder& order) {
+    return order.kind == KeyOrder::Kind::kGrant;
+  }));
+}
+
+}  // namespace
+}  // namespace snipehall
