Reset connections that are given up; handle SIGHUP

A grant to a target behind a cut was given up after 1 s and its connection closed in order, so the kernel delivered it when the cut healed 5 s later, after the keys had gone to another target. Change 1: connections for calls and to targets are closed with a reset, which drops what is still to be sent. Change 2: at SIGHUP the settings are read again. Tests: abandoned_call_test fails with an orderly close and passes now. Ruled out: two leads; the log names one lead throughout.

--- a/src/coordination/shared_retry_budget.h
+++ b/src/coordination/shared_retry_budget.h
@@ -26,6 +26,8 @@
 
   explicit SharedRetryBudget(Limits limits) : m_limits(limits) {}
 
+  void set_limits(Limits limits) { m_limits = limits; }
+
   void OnRequest(MonotonicTime now);
 
   // Takes one retry; false when none is left in the window.
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/outcome/try.hpp>
 #include <csignal>
+#include <functional>
 #include <memory>
 #include <random>
 
@@ -15,7 +16,8 @@
 namespace snipehall {
 
 // A whole gateway on one event loop: serves callers, follows the platform's
-// log, takes its turn as the lead, and stops gracefully at SIGTERM.
+// log, takes its turn as the lead, reads its settings again at SIGHUP and stops
+// gracefully at SIGTERM.
 //
 // One thread serves both: on a fifth of a core a second one would only add
 // switches, and the decisions of the lead need the loads that callers cause.
@@ -25,7 +27,8 @@
   Gateway(boost::asio::io_context& io,
           const GatewaySettings& settings,
           const GatewayHeaderNames& names,
-          Platform& platform)
+          Platform& platform,
+          std::function<Result<GatewaySettings>()> load_settings)
       : m_settings(settings),
         m_log(settings.instance),
         m_context(io.get_executor(),
@@ -44,7 +47,8 @@
             io.get_executor(),
             [this](const KeyLoadReport& report) { m_control.OnLoad(report); }),
         m_report_timer(io),
-        m_signals(io, SIGTERM, SIGINT),
+        m_signals(io, SIGTERM, SIGINT, SIGHUP),
+        m_load_settings(std::move(load_settings)),
         m_stop_timer(io) {}
 
   // Binds the listeners and starts all work on the event loop.
@@ -60,12 +64,7 @@
     m_context.on_failed_request = [this](const FailedRequest& request) {
       LogFailure(request);
     };
-    m_signals.async_wait(
-        [this](const boost::system::error_code& error, int /*signal*/) {
-          if (!error) {
-            BeginStop();
-          }
-        });
+    WaitForSignal();
     m_log.Write("start", {{"zone", m_settings.zone}});
     m_server->Start();
     m_control.Start();
@@ -85,6 +84,35 @@
 
   static MonotonicTime Now() { return std::chrono::steady_clock::now(); }
 
+  void WaitForSignal() {
+    m_signals.async_wait(
+        [this](const boost::system::error_code& error, int signal) {
+          if (error) {
+            return;
+          }
+          if (signal == SIGHUP) {
+            Reload();
+          } else if (!m_context.draining) {
+            BeginStop();
+          }
+          WaitForSignal();
+        });
+  }
+
+  // Takes over what may change while the process runs. Addresses stay: the
+  // listeners are bound.
+  void Reload() {
+    const Result<GatewaySettings> settings = m_load_settings();
+    if (!settings) {
+      m_log.Write("reload_refused", {{"error", settings.error().message}});
+      return;
+    }
+    m_settings.retries = settings.value().retries;
+    m_settings.stop_time = settings.value().stop_time;
+    m_context.services.SetRetryLimits(m_settings.retries);
+    m_log.Write("reload", {});
+  }
+
   void LogFailure(const FailedRequest& request) {
     m_log.Write("request_failed",
                 {{"id", request.request_id},
@@ -158,6 +186,7 @@
   LoadExchange m_exchange;
   boost::asio::steady_timer m_report_timer;
   boost::asio::signal_set m_signals;
+  std::function<Result<GatewaySettings>()> m_load_settings;
   boost::asio::steady_timer m_stop_timer;
   MonotonicTime m_accept_until;
   MonotonicTime m_stop_at;
--- a/src/transport/gateway/gateway_services.cc
+++ b/src/transport/gateway/gateway_services.cc
@@ -30,6 +30,13 @@
   return found == m_services.end() ? nullptr : found->second.get();
 }
 
+void GatewayServices::SetRetryLimits(SharedRetryBudget::Limits limits) {
+  m_retries = limits;
+  for (const auto& [name, service] : m_services) {
+    service->retries.set_limits(limits);
+  }
+}
+
 void GatewayServices::Update(MonotonicTime now) {
   m_version = m_state.version();
   if (!m_state.policy()) {
--- a/src/transport/gateway/gateway_services.h
+++ b/src/transport/gateway/gateway_services.h
@@ -35,6 +35,8 @@
                   SharedRetryBudget::Limits retries,
                   std::uint64_t seed);
 
+  void SetRetryLimits(SharedRetryBudget::Limits limits);
+
   // The service with its newest targets; null when the configuration has no
   // such service.
   GatewayService* Find(MonotonicTime now, std::string_view name);
--- a/src/transport/http_connection.cc
+++ b/src/transport/http_connection.cc
@@ -150,6 +150,9 @@
   beast::error_code ignored;
   stream->socket().set_option(asio::ip::tcp::no_delay(true), ignored);
   ProbeConnection(stream->socket().native_handle());
+  // A call that is given up must not arrive later, so closing drops what is
+  // still to be sent.
+  stream->socket().set_option(asio::socket_base::linger(true, 0), ignored);
   co_return stream;
 }
 
--- a/src/transport/target_pool.cc
+++ b/src/transport/target_pool.cc
@@ -41,7 +41,12 @@
     m_idle.erase(m_idle.begin());
   }
   ++m_in_use;
-  return std::make_shared<ByteStream>(Socket(executor, m_endpoint.protocol()));
+  Socket socket(executor, m_endpoint.protocol());
+  // A request that is given up must not arrive later, so closing drops what is
+  // still to be sent.
+  boost::system::error_code ignored;
+  socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+  return std::make_shared<ByteStream>(std::move(socket));
 }
 
 void TargetPool::Release(std::shared_ptr<ByteStream> stream, bool reusable) {
--- /dev/null
+++ b/tests/unit/abandoned_call_test.cc
@@ -0,0 +1,47 @@
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <string>
+
+#include "transport/http_connection.h"
+
+#include <criterion/criterion.h>
+
+namespace snipehall {
+namespace {
+
+using boost::asio::ip::tcp;
+
+// Guards against a call that takes effect after it was given up: an orderly
+// close would still deliver what a cut link has held up.
+Test(abandoned_call, connection_is_reset_when_a_call_times_out) {
+  boost::asio::io_context io;
+  tcp::acceptor acceptor(io, {boost::asio::ip::address_v4::loopback(), 0});
+  const std::string address =
+      "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  tcp::socket peer(io);
+  acceptor.async_accept(peer, [](const boost::system::error_code&) {});
+  HttpConnection connection(io.get_executor(), address, 1024);
+  bool failed = false;
+  boost::asio::co_spawn(
+      io,
+      [&]() -> boost::asio::awaitable<void> {
+        const Result<HttpReply> reply = co_await connection.Exchange(
+            {}, std::chrono::steady_clock::now() + Milliseconds(50));
+        failed = reply.has_error();
+      },
+      boost::asio::detached);
+  io.run();
+  cr_assert(failed);
+  std::string received(4096, '\0');
+  boost::system::error_code error;
+  boost::asio::read(peer, boost::asio::buffer(received), error);
+  cr_assert(error == boost::asio::error::connection_reset, "%s",
+            error.message().c_str());
+}
+
+}  // namespace
+}  // namespace snipehall
