Correct the test of abandoned calls

Change: the test's coroutine is a function; calls are named variables. Result: the test passes; with an orderly close it fails (end of file in place of a reset).

--- a/tests/unit/abandoned_call_test.cc
+++ b/tests/unit/abandoned_call_test.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <string>
+#include <utility>
 
 #include "transport/http_connection.h"
 
@@ -15,6 +16,14 @@
 
 using boost::asio::ip::tcp;
 
+boost::asio::awaitable<void> CallInVain(HttpConnection& connection,
+                                        bool& failed) {
+  HttpCall call;
+  const Result<HttpReply> reply = co_await connection.Exchange(
+      std::move(call), std::chrono::steady_clock::now() + Milliseconds(50));
+  failed = reply.has_error();
+}
+
 // Guards against a call that takes effect after it was given up: an orderly
 // close would still deliver what a cut link has held up.
 Test(abandoned_call, connection_is_reset_when_a_call_times_out) {
@@ -26,14 +35,8 @@
   acceptor.async_accept(peer, [](const boost::system::error_code&) {});
   HttpConnection connection(io.get_executor(), address, 1024);
   bool failed = false;
-  boost::asio::co_spawn(
-      io,
-      [&]() -> boost::asio::awaitable<void> {
-        const Result<HttpReply> reply = co_await connection.Exchange(
-            {}, std::chrono::steady_clock::now() + Milliseconds(50));
-        failed = reply.has_error();
-      },
-      boost::asio::detached);
+  boost::asio::co_spawn(io, CallInVain(connection, failed),
+                        boost::asio::detached);
   io.run();
   cr_assert(failed);
   std::string received(4096, '\0');
