Watch the lead by datagrams; give up targets whose address changed hands

Cause 2: the store's groups moved the duty whenever an instance came or went. Change 2: instances watch the lead by the answers to their load reports and take over after several are missing; the log lets one of them win. Tests: two new cases of key_lead_test fail without the change; lead_watch_test, key_codec_test, target_registry_test. Ruled out: granting a moving range twice with one record of an earlier owner.

--- a/src/coordination/key_lead.cc
+++ b/src/coordination/key_lead.cc
@@ -15,6 +15,24 @@
 
 }  // namespace
 
+std::string_view ToString(KeyOrderOutcome outcome) {
+  switch (outcome) {
+    case KeyOrderOutcome::kDone:
+      return "done";
+    case KeyOrderOutcome::kFenced:
+      return "fenced";
+    case KeyOrderOutcome::kRejected:
+      return "rejected";
+    case KeyOrderOutcome::kGone:
+      return "gone";
+    case KeyOrderOutcome::kNotSent:
+      return "not sent";
+    case KeyOrderOutcome::kUnknown:
+      break;
+  }
+  return "unknown";
+}
+
 void KeyLead::OnTable(MonotonicTime now, KeyTable table) {
   const bool was_lead = m_has_table && m_table.lead == m_self;
   m_table = std::move(table);
@@ -28,6 +46,9 @@
   }
   if (!was_lead) {
     m_earlier_until = now + kLeadLease + kOrderLimit + LongestHold(kLongHold);
+    if (m_replaced_term == m_table.term) {
+      m_earlier_until = std::min(m_earlier_until, m_replaced_until);
+    }
   }
   std::map<RangeId, RangeState> ranges;
   for (const auto& [service, assignments] : m_table.services) {
@@ -45,6 +66,28 @@
   m_ranges = std::move(ranges);
 }
 
+Milliseconds KeyLead::LongestGrant(MonotonicTime now) const {
+  MonotonicTime last = now;
+  for (const auto& [target, until] : m_held_until) {
+    last = std::max(last, until);
+  }
+  for (const auto& [target, grants] : m_grants_in_flight) {
+    if (grants > 0) {
+      last = std::max(last, now + kOrderLimit + LongestHold(kLongHold));
+    }
+  }
+  return std::chrono::ceil<Milliseconds>(std::max(last, m_earlier_until) - now);
+}
+
+void KeyLead::OnPredecessor(MonotonicTime now, const LeadReplaced& replaced) {
+  // The message may come before the append of this lead is answered.
+  m_replaced_term = replaced.term;
+  m_replaced_until = now + replaced.holds;
+  if (IsNamedLead() && m_table.term == replaced.term) {
+    m_earlier_until = std::min(m_earlier_until, m_replaced_until);
+  }
+}
+
 void KeyLead::OnConfirmed(MonotonicTime began) {
   m_confirmed_at = std::max(m_confirmed_at, began);
 }
@@ -187,6 +230,7 @@
     KeyTable next = m_table;
     next.lead = m_self;
     next.lead_address = m_address;
+    ++next.term;
     return next;
   }
   KeyTable next = m_table;
@@ -197,6 +241,10 @@
       if (item.moving() && state != m_ranges.end() && state->second.granted) {
         item.previous.clear();
         changed = true;
+      } else if (state != m_ranges.end() && state->second.fenced) {
+        // The newest table is this lead's, so a greater token is its to give.
+        item.fence = ++next.fence;
+        changed = true;
       }
     }
   }
--- a/src/coordination/key_lead.h
+++ b/src/coordination/key_lead.h
@@ -5,11 +5,13 @@
 #include <set>
 #include <span>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
 #include "coordination/key_load.h"
 #include "coordination/key_planner.h"
+#include "coordination/lead_message.h"
 #include "state/key_table.h"
 #include "state/target_list.h"
 #include "state/types.h"
@@ -49,8 +51,12 @@
   kUnknown,   // It may have been obeyed, or may yet be.
 };
 
+std::string_view ToString(KeyOrderOutcome outcome);
+
 struct KeyOrderResult {
   KeyOrderOutcome outcome = KeyOrderOutcome::kUnknown;
+  // The target's own code for it, for logs; zero without an answer.
+  unsigned status = 0;
   // From the answer to a release.
   std::string handover;
 };
@@ -102,6 +108,12 @@
   KeyLead(InstanceId self, std::string address)
       : m_self(std::move(self)), m_address(std::move(address)) {}
 
+  // How long the grants of this instance last at most.
+  Milliseconds LongestGrant(MonotonicTime now) const;
+
+  // The predecessor of this lead said how long its grants last.
+  void OnPredecessor(MonotonicTime now, const LeadReplaced& replaced);
+
   // A new version of the table was read from the log, or appended by this
   // instance.
   void OnTable(MonotonicTime now, KeyTable table);
@@ -214,6 +226,9 @@
   std::map<TargetId, MonotonicTime, std::less<>> m_next_probe;
   // Until when grants of earlier leads may last.
   MonotonicTime m_earlier_until;
+  // What the predecessor said of them, with the term that it named.
+  std::uint64_t m_replaced_term = 0;
+  MonotonicTime m_replaced_until;
   // Targets that have ended, by the start of their process.
   std::map<TargetId, std::int64_t, std::less<>> m_gone;
 };
--- a/src/coordination/key_planner.h
+++ b/src/coordination/key_planner.h
@@ -19,11 +19,12 @@
 // Assigns the keys of one service. Ranges whose owner is no candidate go to
 // the candidates with the fewest keys, and a candidate without keys takes some
 // from those with the most; all else stays, since each move costs the targets
-// their warm state. Ranges that are moving are left alone.
+// their warm state. A range that is moving gets another owner when the one it
+// moves to is no candidate and cannot hold it.
 //
 // Changed ranges get the tokens from `fence` + 1 on; `fence` is raised to the
 // greatest one. An owner that is no candidate becomes `previous` when
-// `may_hold` says that it may still hold its keys.
+// `may_hold` says that it may still hold the range.
 template <typename MayHold>
 std::vector<KeyAssignment> PlanKeys(std::span<const KeyAssignment> current,
                                     std::span<const KeyCandidate> candidates,
@@ -67,8 +68,7 @@
   for (const KeyAssignment& range : current) {
     const KeyCandidate* owner =
         internal::FindCandidate(candidates, range.owner);
-    if (range.moving() ||
-        (owner != nullptr && owner->born_ms == range.owner_born_ms)) {
+    if (owner != nullptr && owner->born_ms == range.owner_born_ms) {
       result.push_back(range);
       continue;
     }
@@ -79,8 +79,14 @@
       result.back().fence = ++fence;
       continue;
     }
+    const bool held = may_hold(range);
+    if (range.moving() && held) {
+      // Only one earlier owner is recorded; the move ends, or the hold lapses.
+      result.push_back(range);
+      continue;
+    }
     for (KeyAssignment& part : internal::SplitRange(range, candidates, sizes)) {
-      part.previous = may_hold(range) ? range.owner : TargetId();
+      part.previous = held ? range.owner : range.previous;
       part.fence = ++fence;
       result.push_back(std::move(part));
     }
--- /dev/null
+++ b/src/coordination/lead_watch.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <cstdint>
+#include <random>
+#include <string_view>
+
+#include "state/types.h"
+
+namespace snipehall {
+
+// Decides when an instance tries to become the lead: when the lead leaves
+// several reports in a row unanswered, or says that it does not serve.
+//
+// Reports are counted, not time: an instance that was frozen has not asked
+// meanwhile. Each waits for one more report with even chance, so that not all
+// try at once; the log lets one of them win.
+class LeadWatch {
+ public:
+  // Unanswered reports after which the lead is taken for lost.
+  static constexpr int kUnanswered = 3;
+
+  explicit LeadWatch(std::uint64_t seed) : m_random(seed) {}
+
+  // The newest key table names `lead`.
+  void OnLead(std::string_view lead);
+  void OnReportSent() { ++m_unanswered; }
+  void OnServing(std::string_view from);
+  void OnNotServing(std::string_view from);
+
+  // Whether the instance is to take over now.
+  bool IsLost() const {
+    return m_lead.empty() || m_unanswered > kUnanswered + m_patience;
+  }
+
+ private:
+  void Restart();
+
+  std::mt19937_64 m_random;
+  InstanceId m_lead;
+  int m_unanswered = 0;
+  int m_patience = 0;
+};
+
+}  // namespace snipehall
--- a/src/protocol/key_table_codec.cc
+++ b/src/protocol/key_table_codec.cc
@@ -60,6 +60,7 @@
   KeyTable table;
   table.lead = std::string(object.at("lead").as_string());
   table.lead_address = std::string(object.at("lead_address").as_string());
+  table.term = object.at("term").to_number<std::uint64_t>();
   table.fence = object.at("fence").to_number<std::uint64_t>();
   for (const auto& [service, ranges] : object.at("services").as_object()) {
     BOOST_OUTCOME_TRY(std::vector<KeyAssignment> decoded,
@@ -85,6 +86,7 @@
   json::object object;
   object["lead"] = table.lead;
   object["lead_address"] = table.lead_address;
+  object["term"] = table.term;
   object["fence"] = table.fence;
   object["services"] = std::move(services);
   return json::serialize(object);
--- /dev/null
+++ b/src/protocol/lead_message.capnp
@@ -0,0 +1,42 @@
+@0xd3a1b0c95e7f4a26;
+
+# Datagrams between an instance and the lead.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("snipehall::wire");
+
+struct LeadMessage {
+  # The instance that sends it.
+  from @0 :Text;
+
+  union {
+    # To the lead: what the sender saw of a keyed service.
+    report @1 :LoadReport;
+    # From the lead, in answer to a report.
+    serving @2 :Void;
+    # From an instance that is not the lead, or will soon not be any more.
+    notServing @3 :Void;
+    # From a former lead to its successor.
+    replaced @4 :Replaced;
+  }
+}
+
+struct Replaced {
+  # Of the successor.
+  term @0 :UInt64;
+  # How long the former lead's grants last at most.
+  holdsMs @1 :UInt32;
+}
+
+struct LoadReport {
+  service @0 :Text;
+  keys @1 :List(UInt32);
+  requestsPerKey @2 :UInt32;
+  targets @3 :List(TargetTimes);
+
+  struct TargetTimes {
+    id @0 :Text;
+    answers @1 :UInt32;
+    timeMs @2 :UInt32;
+  }
+}
--- a/src/state/key_table.h
+++ b/src/state/key_table.h
@@ -41,6 +41,8 @@
 struct KeyTable {
   // The instance that orders the targets; see KeyLead.
   InstanceId lead;
+  // Counts the changes of lead.
+  std::uint64_t term = 0;
   // "address:port" where the lead takes reports of load.
   std::string lead_address;
   // Greatest fencing token that was used.
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -11,7 +11,7 @@
 
 #include "transport/gateway/gateway_control.h"
 #include "transport/gateway/gateway_server.h"
-#include "transport/gateway/load_exchange.h"
+#include "transport/gateway/lead_link.h"
 
 namespace snipehall {
 
@@ -31,21 +31,25 @@
           std::function<Result<GatewaySettings>()> load_settings)
       : m_settings(settings),
         m_log(settings.instance),
+        m_link(io.get_executor(),
+               [this](const LeadLink::Endpoint& sender,
+                      const LeadMessage& message) {
+                 m_control.OnMessage(sender, message);
+               }),
         m_context(io.get_executor(),
                   m_settings,
                   names,
                   m_state,
                   m_metrics,
-                  std::random_device{}()),
+                  m_seed),
         m_control(io.get_executor(),
                   m_settings,
                   platform,
                   m_state,
                   m_metrics,
-                  m_log),
-        m_exchange(
-            io.get_executor(),
-            [this](const KeyLoadReport& report) { m_control.OnLoad(report); }),
+                  m_log,
+                  m_link,
+                  m_seed),
         m_report_timer(io),
         m_signals(io, SIGTERM, SIGINT, SIGHUP),
         m_load_settings(std::move(load_settings)),
@@ -57,7 +61,7 @@
                       GatewayServer::Create(m_context, m_settings, [this] {
                         return !m_context.draining && m_control.IsReady();
                       }));
-    BOOST_OUTCOME_TRY(m_exchange.Start(m_settings.peer_address));
+    BOOST_OUTCOME_TRY(m_link.Start(m_settings.peer_address));
     m_context.on_target_unreachable = [this](std::string_view target) {
       m_control.OnTargetUnreachable(target);
     };
@@ -78,7 +82,7 @@
   static constexpr Milliseconds kAcceptAfterStop{2600};
   static constexpr Milliseconds kStopTick{50};
   // Time between two reports of load to the lead.
-  static constexpr Milliseconds kReportInterval{500};
+  static constexpr Milliseconds kReportInterval{400};
   // Left of the time to stop when the process ends at the latest.
   static constexpr Milliseconds kStopReserve{300};
 
@@ -129,22 +133,12 @@
     m_report_timer.expires_after(kReportInterval);
     m_report_timer.async_wait([this](const boost::system::error_code& error) {
       if (!error) {
-        SendReports();
+        m_control.Report(m_context.key_loads.TakeReports());
         ScheduleReports();
       }
     });
   }
 
-  void SendReports() {
-    for (const KeyLoadReport& report : m_context.key_loads.TakeReports()) {
-      if (m_control.IsNamedLead()) {
-        m_control.OnLoad(report);
-      } else if (!m_state.keys().lead_address.empty()) {
-        m_exchange.Send(m_state.keys().lead_address, report);
-      }
-    }
-  }
-
   void BeginStop() {
     m_log.Write("stop", {{"busy", std::to_string(m_server->busy())}});
     m_server->BeginDrain();
@@ -162,7 +156,7 @@
         m_log.Write("stopped", {{"busy", std::to_string(m_server->busy())}});
         m_server->Stop();
         m_control.Stop();
-        m_exchange.Close();
+        m_link.Close();
         m_report_timer.cancel();
         m_context.executor.context().stop();
         return;
@@ -180,10 +174,11 @@
   RoutingState m_state;
   GatewayMetrics m_metrics;
   EventLog m_log;
+  std::uint64_t m_seed = std::random_device{}();
+  LeadLink m_link;
   GatewayContext m_context;
   GatewayControl<Platform> m_control;
   std::unique_ptr<GatewayServer> m_server;
-  LoadExchange m_exchange;
   boost::asio::steady_timer m_report_timer;
   boost::asio::signal_set m_signals;
   std::function<Result<GatewaySettings>()> m_load_settings;
--- a/src/transport/gateway/gateway_control.h
+++ b/src/transport/gateway/gateway_control.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -10,14 +11,17 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "coordination/key_lead.h"
+#include "coordination/lead_watch.h"
 #include "coordination/target_registry.h"
 #include "protocol/key_table_codec.h"
 #include "transport/event_log.h"
 #include "transport/gateway/gateway_metrics.h"
 #include "transport/gateway/gateway_settings.h"
+#include "transport/gateway/lead_link.h"
 #include "transport/gateway/routing_state.h"
 #include "transport/record_feed.h"
 #include "transport/spawn.h"
@@ -28,9 +32,7 @@
 //
 // NewLog() gives a connection to the log; each feed has its own.
 // NewKeyOrders() gives a client that carries orders to one target, one at a
-// time. RequestDuty() tells whether the platform names this instance for the
-// duty of ordering targets, which is a hint: it may name two instances, or
-// none. ParsePolicy() and ParseTarget() read the operator's and the targets'
+// time. ParsePolicy() and ParseTarget() read the operator's and the targets'
 // records.
 template <typename T>
 concept GatewayPlatform = requires(T platform,
@@ -41,12 +43,6 @@
   requires RecordLog<typename T::Log>;
   { platform.NewLog() } -> std::same_as<std::shared_ptr<typename T::Log>>;
   {platform.NewKeyOrders(id)};
-  {
-    platform.RequestDuty(time)
-    } -> std::same_as<boost::asio::awaitable<Result<bool>>>;
-  {
-    platform.LeaveDuty(time)
-    } -> std::same_as<boost::asio::awaitable<Result<void>>>;
   {
     platform.ParsePolicy(text)
     } -> std::same_as<Result<std::shared_ptr<const RoutePolicy>>>;
@@ -69,16 +65,20 @@
                  Platform& platform,
                  RoutingState& state,
                  GatewayMetrics& metrics,
-                 EventLog& log)
+                 EventLog& log,
+                 LeadLink& link,
+                 std::uint64_t seed)
       : m_executor(std::move(executor)),
         m_platform(platform),
         m_state(state),
         m_metrics(metrics),
         m_log(log),
+        m_link(link),
+        m_instance(settings.instance),
+        m_watch(seed),
         m_lead(settings.instance, settings.peer_address),
         m_append_log(platform.NewLog()),
         m_lead_timer(m_executor),
-        m_duty_timer(m_executor),
         m_policy_feed(m_executor,
                       platform.NewLog(),
                       {platform.policy_topic()},
@@ -96,7 +96,6 @@
     Spawn(m_executor, m_policy_feed.Run());
     Spawn(m_executor, m_target_feed.Run());
     Spawn(m_executor, m_key_feed.Run());
-    Spawn(m_executor, RunDuty());
     Spawn(m_executor, RunLead());
   }
 
@@ -120,20 +119,54 @@
     WakeLead();
   }
 
-  // Load that an instance, or this one, has seen.
-  void OnLoad(const KeyLoadReport& report) {
+  // Reports the load of keys to the lead, which answers.
+  void Report(std::vector<KeyLoadReport> reports) {
+    const MonotonicTime now = Now();
     if (m_lead.IsNamedLead()) {
-      m_lead.OnLoad(Now(), report);
+      for (const KeyLoadReport& report : reports) {
+        m_lead.OnLoad(now, report);
+      }
+      return;
+    }
+    if (!m_has_keys_end || !HasKeyedService()) {
+      return;
+    }
+    if (reports.empty()) {
+      reports.emplace_back();
+    }
+    for (KeyLoadReport& report : reports) {
+      m_link.Send(m_state.keys().lead_address, {m_instance, std::move(report)});
+    }
+    m_watch.OnReportSent();
+    if (m_watch.IsLost()) {
+      WakeLead();
     }
   }
-  bool IsNamedLead() const { return m_lead.IsNamedLead(); }
 
-  // Gives up the duty, so that another instance takes it over at once.
-  void BeginDrain() {
-    m_draining = true;
-    m_duty_timer.cancel();
+  void OnMessage(const LeadLink::Endpoint& sender, const LeadMessage& message) {
+    const MonotonicTime now = Now();
+    if (const auto* report = std::get_if<KeyLoadReport>(&message.content)) {
+      if (!m_lead.IsNamedLead() || m_draining) {
+        m_link.Send(sender, {m_instance, LeadNotServing()});
+        return;
+      }
+      if (!report->service.empty()) {
+        m_lead.OnLoad(now, *report);
+      }
+      m_link.Send(sender, {m_instance, LeadServing()});
+    } else if (std::holds_alternative<LeadServing>(message.content)) {
+      m_watch.OnServing(message.from);
+    } else if (std::holds_alternative<LeadNotServing>(message.content)) {
+      m_watch.OnNotServing(message.from);
+    } else if (const auto* replaced =
+                   std::get_if<LeadReplaced>(&message.content)) {
+      m_lead.OnPredecessor(now, *replaced);
+    }
   }
 
+  // From now on other instances are told to take over the lead.
+  void BeginDrain() { m_draining = true; }
+
   void Stop() {
     m_stopped = true;
     m_policy_feed.Close();
@@ -141,7 +174,6 @@
     m_key_feed.Close();
     m_append_log->Close();
     m_lead_timer.cancel();
-    m_duty_timer.cancel();
     for (const auto& [address, idle] : m_order_clients) {
       for (const std::shared_ptr<Orders>& orders : idle) {
         orders->Close();
@@ -166,7 +198,6 @@
   static constexpr Milliseconds kLeadWait{800};
   // Time between two looks at due orders.
   static constexpr Milliseconds kLeadTick{100};
-  static constexpr Milliseconds kDutyInterval{1000};
   static constexpr Milliseconds kCallLimit{1000};
 
   static MonotonicTime Now() { return std::chrono::steady_clock::now(); }
@@ -290,29 +321,30 @@
     WakeLead();
   }
 
+  bool HasKeyedService() const {
+    if (!m_state.policy()) {
+      return false;
+    }
+    const auto& services = m_state.policy()->services();
+    return std::any_of(services.begin(), services.end(),
+                       [](const auto& item) { return item.second.keyed; });
+  }
+
   void ApplyKeys(MonotonicTime now, KeyTable table) {
     if (table.lead != m_state.keys().lead) {
       m_log.Write("lead", {{"lead", table.lead},
+                           {"term", std::to_string(table.term)},
                            {"fence", std::to_string(table.fence)}});
     }
+    const bool replaced = m_lead.IsNamedLead() && table.lead != m_instance;
+    const Milliseconds holds = m_lead.LongestGrant(now);
     m_state.SetKeys(table);
-    m_lead.OnTable(now, std::move(table));
-  }
-
-  boost::asio::awaitable<void> RunDuty() {
-    while (!m_stopped && !m_draining) {
-      const Result<bool> duty =
-          co_await m_platform.RequestDuty(Now() + kCallLimit);
-      m_duty = duty.has_value() && duty.value();
-      if (m_duty && !m_lead.IsNamedLead()) {
-        WakeLead();
-      }
-      m_duty_timer.expires_after(kDutyInterval);
-      co_await m_duty_timer.async_wait(
-          boost::asio::as_tuple(boost::asio::use_awaitable));
+    m_watch.OnLead(table.lead);
+    if (replaced) {
+      m_link.Send(table.lead_address,
+                  {m_instance, LeadReplaced{table.term, holds}});
     }
-    m_duty = false;
-    co_await m_platform.LeaveDuty(Now() + kCallLimit);
+    m_lead.OnTable(now, std::move(table));
   }
 
   void WakeLead() {
@@ -322,8 +354,7 @@
 
   boost::asio::awaitable<void> RunLead() {
     while (!m_stopped) {
-      const bool active = m_lead.IsNamedLead() || m_duty;
-      m_lead_timer.expires_after(active ? kLeadTick : kLongWait);
+      m_lead_timer.expires_after(m_lead.IsNamedLead() ? kLeadTick : kLongWait);
       if (!m_wake_lead) {
         co_await m_lead_timer.async_wait(
             boost::asio::as_tuple(boost::asio::use_awaitable));
@@ -333,7 +364,9 @@
         break;
       }
       if (m_has_keys_end && !m_appending) {
-        if (auto next = m_lead.NextTable(Now(), m_duty && !m_draining)) {
+        const bool take_over =
+            HasKeyedService() && m_watch.IsLost() && !m_draining;
+        if (auto next = m_lead.NextTable(Now(), take_over)) {
           m_appending = true;
           Spawn(m_executor, Append(*std::move(next)));
         }
@@ -390,19 +423,33 @@
     return orders;
   }
 
+  static std::string_view NameOf(KeyOrder::Kind kind) {
+    switch (kind) {
+      case KeyOrder::Kind::kGrant:
+        return "grant";
+      case KeyOrder::Kind::kRelease:
+        return "release";
+      case KeyOrder::Kind::kProbe:
+        break;
+    }
+    return "probe";
+  }
+
   void NoteOrder(const KeyOrder& order, const KeyOrderResult& result) {
-    const bool release = order.kind == KeyOrder::Kind::kRelease;
-    m_metrics.Count(release ? "releases" : "grants");
-    if (release || result.outcome != KeyOrderOutcome::kDone) {
-      m_log.Write(
-          "key_order",
-          {{"kind", release ? "release" : "grant"},
-           {"target", order.target},
-           {"first", std::to_string(order.first)},
-           {"last", std::to_string(order.last)},
-           {"fence", std::to_string(order.fence)},
-           {"outcome", std::to_string(static_cast<int>(result.outcome))}});
+    const std::string_view kind = NameOf(order.kind);
+    m_metrics.Count(kind);
+    // Renewals that succeed change nothing.
+    if (order.kind == KeyOrder::Kind::kGrant &&
+        result.outcome == KeyOrderOutcome::kDone) {
+      return;
     }
+    m_log.Write("key_order", {{"kind", kind},
+                              {"target", order.target},
+                              {"first", std::to_string(order.first)},
+                              {"last", std::to_string(order.last)},
+                              {"fence", std::to_string(order.fence)},
+                              {"outcome", ToString(result.outcome)},
+                              {"status", std::to_string(result.status)}});
   }
 
   // A target answers a release when the work on its keys has ended.
@@ -414,6 +461,9 @@
   RoutingState& m_state;
   GatewayMetrics& m_metrics;
   EventLog& m_log;
+  LeadLink& m_link;
+  InstanceId m_instance;
+  LeadWatch m_watch;
   TargetRegistry m_registry;
   KeyLead m_lead;
   std::shared_ptr<typename Platform::Log> m_append_log;
@@ -421,7 +471,6 @@
   std::map<std::string, std::vector<std::shared_ptr<Orders>>> m_order_clients;
   std::map<std::string, bool> m_lost;
   boost::asio::steady_timer m_lead_timer;
-  boost::asio::steady_timer m_duty_timer;
   Feed m_policy_feed;
   Feed m_target_feed;
   Feed m_key_feed;
@@ -430,7 +479,6 @@
   bool m_has_keys_end = false;
   bool m_has_targets = false;
   bool m_has_keys = false;
-  bool m_duty = false;
   bool m_appending = false;
   bool m_wake_lead = false;
   bool m_draining = false;
--- a/src/transport/gateway/load_exchange.cc
+++ b/src/transport/gateway/lead_link.cc
@@ -1,8 +1,8 @@
-#include "transport/gateway/load_exchange.h"
+#include "transport/gateway/lead_link.h"
 
 #include <boost/outcome/try.hpp>
 
-#include "protocol/load_report_codec.h"
+#include "protocol/lead_message_codec.h"
 #include "transport/target_pool.h"
 
 namespace snipehall {
@@ -19,7 +19,7 @@
 
 }  // namespace
 
-Result<void> LoadExchange::Start(const std::string& address) {
+Result<void> LeadLink::Start(const std::string& address) {
   BOOST_OUTCOME_TRY(const udp::endpoint endpoint, ParseUdpEndpoint(address));
   error_code error;
   m_socket.open(endpoint.protocol(), error);
@@ -37,34 +37,40 @@
   return boost::outcome_v2::success();
 }
 
-void LoadExchange::Receive() {
-  m_socket.async_receive(
-      boost::asio::buffer(m_buffer),
+void LeadLink::Receive() {
+  m_socket.async_receive_from(
+      boost::asio::buffer(m_buffer), m_sender,
       [this](const error_code& error, std::size_t size) {
         if (error == boost::asio::error::operation_aborted) {
           return;
         }
         if (!error) {
-          const auto report = DecodeLoadReport({m_buffer.data(), size});
-          if (report) {
-            m_on_report(report.value());
+          const auto message = DecodeLeadMessage({m_buffer.data(), size});
+          if (message) {
+            m_on_message(m_sender, message.value());
           }
         }
         Receive();
       });
 }
 
-void LoadExchange::Send(std::string_view address, const KeyLoadReport& report) {
+void LeadLink::Send(std::string_view address, const LeadMessage& message) {
   const auto endpoint = ParseUdpEndpoint(address);
-  if (!endpoint || !m_socket.is_open()) {
+  if (endpoint) {
+    Send(endpoint.value(), message);
+  }
+}
+
+void LeadLink::Send(const Endpoint& receiver, const LeadMessage& message) {
+  if (!m_socket.is_open()) {
     return;
   }
-  const std::string bytes = EncodeLoadReport(report);
+  const std::string bytes = EncodeLeadMessage(message);
   error_code ignored;
-  m_socket.send_to(boost::asio::buffer(bytes), endpoint.value(), 0, ignored);
+  m_socket.send_to(boost::asio::buffer(bytes), receiver, 0, ignored);
 }
 
-void LoadExchange::Close() {
+void LeadLink::Close() {
   error_code ignored;
   m_socket.close(ignored);
 }
--- /dev/null
+++ b/tests/unit/key_codec_test.cc
@@ -0,0 +1,71 @@
+#include <string>
+
+#include "protocol/key_table_codec.h"
+#include "protocol/lead_message_codec.h"
+
+#include <criterion/criterion.h>
+
+namespace snipehall {
+namespace {
+
+KeyTable MakeTable() {
+  KeyTable table;
+  table.lead = "entry-1";
+  table.lead_address = "127.0.0.1:7000";
+  table.term = 3;
+  table.fence = 9;
+  table.services["catalog"] = {{0, 99, "a", 1754000000123, 8, ""},
+                               {100, kLastKey, "b", 0, 9, "a"}};
+  return table;
+}
+
+Test(key_table_codec, table_survives) {
+  const auto decoded = DecodeKeyTable(EncodeKeyTable(MakeTable()));
+  cr_assert(decoded.has_value());
+  cr_assert(decoded.value() == MakeTable());
+}
+
+// Guards against keys with two owners, or none, by a record that is wrong.
+Test(key_table_codec, overlap_and_gap_are_refused) {
+  KeyTable table = MakeTable();
+  table.services["catalog"][1].first = 99;
+  cr_assert_not(DecodeKeyTable(EncodeKeyTable(table)).has_value());
+  table.services["catalog"][1].first = 101;
+  cr_assert_not(DecodeKeyTable(EncodeKeyTable(table)).has_value());
+  cr_assert_not(DecodeKeyTable("{}").has_value());
+  cr_assert_not(DecodeKeyTable("").has_value());
+}
+
+Test(lead_message_codec, report_survives) {
+  KeyLoadReport report;
+  report.service = "catalog";
+  report.keys = {1, 65535, 1};
+  report.requests_per_key = 2;
+  report.targets = {{"a", 3, Milliseconds(450)}};
+  const std::string bytes = EncodeLeadMessage({"entry-2", report});
+  const auto decoded = DecodeLeadMessage({bytes.data(), bytes.size()});
+  cr_assert(decoded.has_value());
+  cr_assert(decoded.value().from == "entry-2");
+  cr_assert(std::get<KeyLoadReport>(decoded.value().content) == report);
+}
+
+Test(lead_message_codec, replaced_survives) {
+  const std::string bytes =
+      EncodeLeadMessage({"entry-1", LeadReplaced{4, Milliseconds(4080)}});
+  const auto decoded = DecodeLeadMessage({bytes.data(), bytes.size()});
+  cr_assert(decoded.has_value());
+  const auto& replaced = std::get<LeadReplaced>(decoded.value().content);
+  cr_assert_eq(replaced.term, 4);
+  cr_assert(replaced.holds == Milliseconds(4080));
+}
+
+// Guards against a process that ends because of a stray datagram.
+Test(lead_message_codec, other_bytes_are_refused) {
+  const std::string noise(300, '\x7f');
+  for (std::size_t size = 0; size < noise.size(); ++size) {
+    cr_assert_not(DecodeLeadMessage({noise.data(), size}).has_value());
+  }
+}
+
+}  // namespace
+}  // namespace snipehall
--- a/tests/unit/key_lead_test.cc
+++ b/tests/unit/key_lead_test.cc
@@ -55,7 +55,7 @@
   void Finish(const KeyOrder& order,
               KeyOrderOutcome outcome,
               std::string handover = {}) {
-    m_lead.OnOrderDone(m_now, order, {outcome, std::move(handover)});
+    m_lead.OnOrderDone(m_now, order, {outcome, 0, std::move(handover)});
   }
   void FinishAll(KeyOrderOutcome outcome) {
     for (const KeyOrder& order : TakeOrders()) {
@@ -208,6 +208,39 @@
   }
 }
 
+// Guards against keys that stay without an owner when the target that they are
+// moving to is lost.
+Test(key_lead, move_to_a_lost_target_goes_elsewhere) {
+  LeadFixture fixture;
+  fixture.Settle();
+  fixture.AddTarget("c");
+  cr_assert(fixture.Append());
+  fixture.RemoveTarget("c");
+  for (int i = 0; i < 100; ++i) {
+    fixture.Advance(Milliseconds(100));
+    fixture.Append();
+    for (const KeyOrder& order : fixture.TakeOrders()) {
+      fixture.Finish(order, order.target == "c" ? KeyOrderOutcome::kNotSent
+                                                : KeyOrderOutcome::kDone);
+    }
+  }
+  for (std::size_t i = 0; i < fixture.ranges(); ++i) {
+    cr_assert_neq(fixture.Range(i).owner, "c");
+    cr_assert_not(fixture.Range(i).moving());
+  }
+}
+
+// Guards against keys that are never granted again after a refusal.
+Test(key_lead, refused_token_is_replaced_by_a_greater_one) {
+  LeadFixture fixture;
+  fixture.Settle();
+  const FenceToken before = fixture.Range(0).fence;
+  fixture.Advance(KeyLead::kRenewal);
+  fixture.FinishAll(KeyOrderOutcome::kFenced);
+  cr_assert(fixture.Append());
+  cr_assert_gt(fixture.Range(0).fence, before);
+}
+
 // Guards against a new process that is taken for the one that held the keys.
 Test(key_lead, restarted_owner_gets_a_greater_token) {
   LeadFixture fixture;
--- /dev/null
+++ b/tests/unit/lead_watch_test.cc
@@ -0,0 +1,49 @@
+#include "coordination/lead_watch.h"
+
+#include <criterion/criterion.h>
+
+namespace snipehall {
+namespace {
+
+constexpr std::uint64_t kSeed = 7;
+
+// Guards against a takeover by an instance that was frozen and has not asked.
+Test(lead_watch, time_without_reports_does_not_count) {
+  LeadWatch watch(kSeed);
+  watch.OnLead("entry-1");
+  for (int i = 0; i < LeadWatch::kUnanswered; ++i) {
+    watch.OnReportSent();
+  }
+  cr_assert_not(watch.IsLost());
+}
+
+Test(lead_watch, lead_that_leaves_reports_unanswered_is_lost) {
+  LeadWatch watch(kSeed);
+  watch.OnLead("entry-1");
+  for (int i = 0; i < LeadWatch::kUnanswered + 2; ++i) {
+    watch.OnReportSent();
+  }
+  cr_assert(watch.IsLost());
+  watch.OnServing("entry-2");
+  cr_assert(watch.IsLost(),
+            "the answer of another instance counts for nothing");
+  watch.OnServing("entry-1");
+  cr_assert_not(watch.IsLost());
+}
+
+Test(lead_watch, lead_that_stops_is_replaced_at_once) {
+  LeadWatch watch(kSeed);
+  cr_assert(watch.IsLost(), "without a lead there is one to be chosen");
+  watch.OnLead("entry-1");
+  cr_assert_not(watch.IsLost());
+  for (int i = 0; i < 2; ++i) {
+    watch.OnNotServing("entry-1");
+    watch.OnReportSent();
+  }
+  cr_assert(watch.IsLost());
+  watch.OnLead("entry-2");
+  cr_assert_not(watch.IsLost());
+}
+
+}  // namespace
+}  // namespace snipehall
