--- a/src/transport/gateway/gateway_router.cc
+++ b/src/transport/gateway/gateway_router.cc
@@ -9,6 +9,10 @@
 // A connection within a region takes a few milliseconds; a target that does not
 // accept one for this long is taken for unreachable.
 constexpr Milliseconds kConnectLimit{300};
+// A target's connections are shared by all instances, whose number an instance
+// does not know; each keeps at most its part of those, but a few in any case.
+constexpr int kMostInstances = 16;
+constexpr int kLeastConnections = 4;
 // Connections that one request tries to make in vain.
 constexpr int kConnectAttempts = 3;
 // Part of the objective that a request waits for an owner of its key; held for
@@ -96,6 +100,7 @@
   if (!pool) {
     co_return Refuse("unreadable target address", kOwnerRetryAfter);
   }
+  pool->set_limit(ConnectionLimit());
   TargetChooser& chooser = m_service->chooser;
   std::shared_ptr<ByteStream> stream = pool->TakeIdle();
   const bool warm = stream != nullptr;
@@ -185,6 +190,12 @@
   co_return !error && !expired && !m_request.interrupted();
 }
 
+int GatewayRouter::ConnectionLimit() const {
+  const ServicePolicy* policy = m_request.policy->FindService(m_service->name);
+  const int limit = policy == nullptr ? 0 : policy->connection_limit;
+  return std::max(kLeastConnections, limit / kMostInstances);
+}
+
 bool GatewayRouter::MayRepeat(MonotonicTime now) {
   return m_attempts < m_request.route->max_attempts &&
          m_service->retries.TryTake(now);
--- a/src/transport/gateway/gateway_router.h
+++ b/src/transport/gateway/gateway_router.h
@@ -49,6 +49,8 @@
   Next AfterRefusal(const TargetExchange& exchange);
   Next AfterLost();
   Next Finish(TargetExchange& exchange);
+  // Connections to the target that are kept.
+  int ConnectionLimit() const;
   // Whether the request may be sent once more now.
   bool MayRepeat(MonotonicTime now);
   // Waits for a change of the routing state.
