--- a/src/transport/event_log.cc
+++ b/src/transport/event_log.cc
@@ -5,18 +5,39 @@
 
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
+#include <cerrno>
 #include <chrono>
+#include <system_error>
+#include <utility>
 
 namespace snipehall {
 
-EventLog::EventLog(InstanceId instance) : m_instance(std::move(instance)) {
-  const int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+namespace {
+
+constexpr mode_t kFileMode = 0640;
+
+}  // namespace
+
+EventLog::EventLog(InstanceId instance, const std::string& file)
+    : m_instance(std::move(instance)), m_output(STDOUT_FILENO) {
+  if (!file.empty()) {
+    m_output = ::open(file.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC,
+                      kFileMode);
+    if (m_output < 0) {
+      throw std::system_error(errno, std::generic_category(), file);
+    }
+  }
+  const int flags = ::fcntl(m_output, F_GETFL);
   if (flags >= 0) {
-    ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    ::fcntl(m_output, F_SETFL, flags | O_NONBLOCK);
   }
 }
 
-EventLog::~EventLog() = default;
+EventLog::~EventLog() {
+  if (m_output != STDOUT_FILENO) {
+    ::close(m_output);
+  }
+}
 
 void EventLog::Write(std::string_view event, Fields fields) {
   const auto now = std::chrono::steady_clock::now().time_since_epoch();
@@ -46,7 +67,7 @@
   }
   std::string text = boost::json::serialize(line);
   text.push_back('\n');
-  if (::write(STDOUT_FILENO, text.data(), text.size()) !=
+  if (::write(m_output, text.data(), text.size()) !=
       static_cast<ssize_t>(text.size())) {
     ++m_dropped;
   }
--- a/src/transport/event_log.h
+++ b/src/transport/event_log.h
@@ -11,8 +11,8 @@
 
 namespace snipehall {
 
-// Writes one line of JSON for each decision or change of state to standard
-// output, without ever blocking: a line that the pipe does not take at once is
+// Writes one line of JSON for each decision or change of state, without ever
+// blocking: a line that the pipe does not take at once is
 // dropped and counted. Lines of one event are limited to kLinesPerSecond; the
 // next line that is written says how many were left out.
 class EventLog {
@@ -22,7 +22,9 @@
 
   static constexpr int kLinesPerSecond = 20;
 
-  explicit EventLog(InstanceId instance);
+  // Writes to standard output, or appends to `file` when it has a name. Throws
+  // std::system_error when the file cannot be opened.
+  EventLog(InstanceId instance, const std::string& file);
   ~EventLog();
   EventLog(const EventLog&) = delete;
   EventLog& operator=(const EventLog&) = delete;
@@ -39,6 +41,7 @@
   };
 
   InstanceId m_instance;
+  int m_output;
   std::map<std::string, Rate, std::less<>> m_rates;
   std::uint64_t m_dropped = 0;
 };
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -28,9 +28,10 @@
           const GatewaySettings& settings,
           const GatewayHeaderNames& names,
           Platform& platform,
+          EventLog& log,
           std::function<Result<GatewaySettings>()> load_settings)
       : m_settings(settings),
-        m_log(settings.instance),
+        m_log(log),
         m_link(io.get_executor(),
                [this](const LeadLink::Endpoint& sender,
                       const LeadMessage& message) {
@@ -173,7 +174,7 @@
   GatewaySettings m_settings;
   RoutingState m_state;
   GatewayMetrics m_metrics;
-  EventLog m_log;
+  EventLog& m_log;
   std::uint64_t m_seed = std::random_device{}();
   LeadLink m_link;
   GatewayContext m_context;
--- /dev/null
+++ b/tests/process/support/gateway_cluster.cc
@@ -0,0 +1,211 @@
+#include "process/support/gateway_cluster.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <csignal>
+#include <fstream>
+#include <set>
+
+#include "platform/store_records.h"
+
+namespace snipehall::test {
+
+namespace {
+
+using boost::asio::ip::tcp;
+
+constexpr const char* kPolicy = R"({"Version":%VERSION%,
+"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":67108864,
+"HeaderTimeout":"3000ms","IdleTimeout":"15000ms"},
+"Listeners":[{"Host":"shop.example","Rules":[
+{"Name":"catalog","Kind":"idempotent","TargetLatency":"600ms","Priority":2,
+"Match":{"PathPrefix":"/catalog/"},"Action":{"Service":"catalog",
+"Timeout":"%TIMEOUT%ms","MaxAttempts":2}},
+{"Name":"booking","Kind":"non_idempotent","TargetLatency":"800ms","Priority":1,
+"Match":{"PathPrefix":"/booking/"},"Action":{"Service":"booking",
+"Timeout":"2000ms","MaxAttempts":2}}]}],
+"Clusters":[
+{"Name":"catalog","HealthPath":"/health","MaxConnections":130,"Protocol":"h1",
+"Tls":false,"Sharded":true,"WarmUp":"3s","Grants":"call"},
+{"Name":"booking","HealthPath":"/health","MaxConnections":130,
+"Protocol":"h1","Tls":false}]})";
+
+constexpr const char* kSettings = R"(
+[Local]
+NodeName = "%NAME%"
+Ip = "127.0.0.1"
+Zone = "zone-1"
+[Network]
+InternalPorts = [%PEER%, %PEER%]
+[Network.Listen]
+Front = "%FRONT%"
+Ready = "%READY%"
+[Platform.Platform]
+Address = "%STORE%"
+[Terms.Bounds]
+RetryBudgetRatio = 0.2
+RetryBudgetBase = 62
+BudgetWindow = "10s"
+Grace = "6s"
+)";
+
+std::string Replace(std::string text,
+                    const std::map<std::string, std::string>& values) {
+  for (const auto& [name, value] : values) {
+    const std::string marker = "%" + name + "%";
+    for (std::size_t at = text.find(marker); at != std::string::npos;
+         at = text.find(marker, at)) {
+      text.replace(at, marker.size(), value);
+    }
+  }
+  return text;
+}
+
+// Ports that nobody listens at now, and that were not given out before.
+std::string ChoosePort() {
+  static std::set<unsigned short> given;
+  boost::asio::io_context context;
+  for (;;) {
+    const tcp::acceptor acceptor(context,
+                                 {boost::asio::ip::address_v4::loopback(), 0});
+    const unsigned short port = acceptor.local_endpoint().port();
+    if (given.insert(port).second) {
+      return std::to_string(port);
+    }
+  }
+}
+
+std::string ChooseAddress() {
+  return "127.0.0.1:" + ChoosePort();
+}
+
+std::string GatewayPath() {
+  return std::string(SNIPEHALL_BIN_DIR) + "/platform/snipehall-gateway";
+}
+
+}  // namespace
+
+GatewayCluster::GatewayCluster(const Options& options) {
+  const std::string errors = (m_directory.path() / "errors").string();
+  m_store = std::make_unique<Process>(
+      std::vector<std::string>{StandinPath("store")}, errors);
+  m_store_address = ReadAddress(*m_store);
+  PublishPolicy(1, 2000);
+  for (int i = 0; i < options.keyed_targets + options.plain_targets; ++i) {
+    Target target;
+    target.keyed = i < options.keyed_targets;
+    target.name = (target.keyed ? "catalog-" : "booking-") + std::to_string(i);
+    m_targets.push_back(std::move(target));
+    StartTarget(m_targets.back());
+  }
+  for (int i = 0; i < options.gateways; ++i) {
+    Gateway gateway;
+    gateway.name = "entry-" + std::to_string(i + 1);
+    gateway.address = ChooseAddress();
+    gateway.status_address = ChooseAddress();
+    gateway.store_link = std::make_unique<Relay>(m_store_address);
+    gateway.settings_file =
+        (m_directory.path() / (gateway.name + ".toml")).string();
+    WriteSettings(gateway, ChoosePort());
+    m_gateways.push_back(std::move(gateway));
+    Restart(m_gateways.size() - 1);
+  }
+}
+
+void GatewayCluster::WriteSettings(const Gateway& gateway,
+                                   const std::string& peer_port) {
+  std::ofstream(gateway.settings_file)
+      << Replace(kSettings, {{"NAME", gateway.name},
+                             {"PEER", peer_port},
+                             {"FRONT", gateway.address},
+                             {"READY", gateway.status_address},
+                             {"STORE", gateway.store_link->address()}});
+}
+
+void GatewayCluster::StartTarget(Target& target) {
+  target.address = ChooseAddress();
+  ++target.starts;
+  std::vector<std::string> arguments = {
+      StandinPath("keyed_target"),
+      "--listen",
+      target.address,
+      "--id",
+      target.name + "." + std::to_string(target.starts),
+      "--service",
+      target.keyed ? "catalog" : "booking",
+      "--store",
+      m_store_address,
+      "--events",
+      (m_directory.path() / "events").string()};
+  if (target.keyed) {
+    arguments.emplace_back("--keyed");
+  }
+  target.process = std::make_unique<Process>(
+      std::move(arguments), (m_directory.path() / "errors").string());
+}
+
+void GatewayCluster::WaitUntilReady(Clock::time_point deadline) {
+  for (std::size_t i = 0; i < m_gateways.size(); ++i) {
+    Require(WaitUntil(deadline, [this, i] { return IsReady(i); }),
+            m_gateways[i].name + " is not ready");
+  }
+}
+
+bool GatewayCluster::IsReady(std::size_t gateway) const {
+  HttpClient client(m_gateways[gateway].status_address);
+  const auto reply = client.Send({.path = "/readyz"},
+                                 Clock::now() + std::chrono::milliseconds(500));
+  return reply && reply->status == 200;
+}
+
+void GatewayCluster::Signal(std::size_t gateway, int signal) {
+  m_gateways[gateway].process->Signal(signal);
+}
+
+std::optional<int> GatewayCluster::WaitForEnd(std::size_t gateway,
+                                              Clock::time_point deadline) {
+  return m_gateways[gateway].process->Wait(deadline);
+}
+
+void GatewayCluster::Restart(std::size_t index) {
+  Gateway& gateway = m_gateways[index];
+  gateway.process = std::make_unique<Process>(
+      std::vector<std::string>{GatewayPath(), "--settings",
+                               gateway.settings_file, "--log",
+                               (m_directory.path() / gateway.name).string()},
+      (m_directory.path() / "errors").string());
+}
+
+void GatewayCluster::SignalTarget(std::size_t target, int signal) {
+  m_targets[target].process->Signal(signal);
+}
+
+void GatewayCluster::ReplaceTarget(std::size_t target) {
+  m_targets[target].process->Signal(SIGKILL);
+  StartTarget(m_targets[target]);
+}
+
+void GatewayCluster::ControlStore(const std::string& path,
+                                  const std::string& body) {
+  HttpClient(m_store_address).Post(path, body);
+}
+
+void GatewayCluster::PublishPolicy(int version, int timeout_ms) {
+  const std::string document =
+      Replace(kPolicy, {{"VERSION", std::to_string(version)},
+                        {"TIMEOUT", std::to_string(timeout_ms)}});
+  HttpClient(m_store_address)
+      .Post("/-/log-append?Topic=keyed.op&part=0",
+            platform::EncodeRecord({"config", document}));
+}
+
+std::vector<std::string> GatewayCluster::Events() const {
+  std::vector<std::string> lines;
+  std::ifstream file(m_directory.path() / "events");
+  for (std::string line; std::getline(file, line);) {
+    lines.push_back(line);
+  }
+  return lines;
+}
+
+}  // namespace snipehall::test
