Read the log once in each zone; bound waits of its reads

Ruled out: a configuration that was refused or overtaken; the log of the node shows that its read never ended.

--- a/src/coordination/lead_message.h
+++ b/src/coordination/lead_message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <string>
 #include <variant>
 
 #include "coordination/key_load.h"
@@ -7,8 +8,20 @@
 
 namespace snipehall {
 
+// What an instance tells the lead.
+struct LeadReport {
+  ZoneName zone;
+  // "address:port" where other instances may read the log's records.
+  std::string relay_address;
+  // What it saw of a keyed service; without a service, nothing.
+  KeyLoadReport load;
+};
+
 // The answer of the lead to a report.
-struct LeadServing {};
+struct LeadServing {
+  // "address:port" of the instance that reads the log for the zone.
+  std::string reader;
+};
 
 // The answer of an instance that is not the lead, or will soon not be any more.
 struct LeadNotServing {};
@@ -24,8 +37,7 @@
 // A datagram between an instance and the lead.
 struct LeadMessage {
   InstanceId from;
-  std::variant<KeyLoadReport, LeadServing, LeadNotServing, LeadReplaced>
-      content;
+  std::variant<LeadReport, LeadServing, LeadNotServing, LeadReplaced> content;
 };
 
 }  // namespace snipehall
--- a/src/protocol/lead_message.capnp
+++ b/src/protocol/lead_message.capnp
@@ -10,10 +10,11 @@
   from @0 :Text;
 
   union {
-    # To the lead: what the sender saw of a keyed service.
-    report @1 :LoadReport;
-    # From the lead, in answer to a report.
-    serving @2 :Void;
+    # To the lead.
+    report @1 :Report;
+    # From the lead, in answer to a report: the address of the instance that
+    # reads the log for the sender's availability zone.
+    serving @2 :Text;
     # From an instance that is not the lead, or will soon not be any more.
     notServing @3 :Void;
     # From a former lead to its successor.
@@ -21,6 +22,14 @@
   }
 }
 
+struct Report {
+  zone @0 :Text;
+  # Where other instances may read the log's records.
+  relayAddress @1 :Text;
+  # What the sender saw of a keyed service.
+  load @2 :LoadReport;
+}
+
 struct Replaced {
   # Of the successor.
   term @0 :UInt64;
--- a/src/protocol/lead_message.capnp.c++
+++ b/src/protocol/lead_message.capnp.c++
@@ -38,7 +38,7 @@
       0,   0,   0,   0,   0,   0,   0,   0,
     124,   0,   0,   0,   3,   0,   1,   0,
     136,   0,   0,   0,   2,   0,   1,   0,
-      2,   0, 254, 255,   0,   0,   0,   0,
+      2,   0, 254, 255,   1,   0,   0,   0,
       0,   0,   1,   0,   2,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     133,   0,   0,   0,  66,   0,   0,   0,
@@ -69,18 +69,18 @@
       0,   0,   0,   0,   0,   0,   0,   0,
     114, 101, 112, 111, 114, 116,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
-      7, 216, 204, 191,   9,  32, 246, 137,
+    247,  91, 219, 147,  15, 206,  46, 242,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     115, 101, 114, 118, 105, 110, 103,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     110, 111, 116,  83, 101, 114, 118, 105,
@@ -105,8 +105,8 @@
 ::capnp::word const* const bp_9fed3600d6188081 = b_9fed3600d6188081.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_9fed3600d6188081[] = {
-  &s_89f62009bfccd807,
   &s_eef3dcc479991b0e,
+  &s_f22ece0f93db5bf7,
 };
 static const uint16_t m_9fed3600d6188081[] = {0, 3, 4, 1, 2};
 static const uint16_t i_9fed3600d6188081[] = {1, 2, 3, 4, 0};
@@ -115,6 +115,84 @@
   2, 5, i_9fed3600d6188081, nullptr, nullptr, { &s_9fed3600d6188081, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<64> b_f22ece0f93db5bf7 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    247,  91, 219, 147,  15, 206,  46, 242,
+     19,   0,   0,   0,   1,   0,   0,   0,
+     38,  74, 127,  94, 201, 176, 161, 211,
+      3,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 210,   0,   0,   0,
+     33,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 175,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    108, 101,  97, 100,  95, 109, 101, 115,
+    115,  97, 103, 101,  46,  99,  97, 112,
+    110, 112,  58,  82, 101, 112, 111, 114,
+    116,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73,   0,   0,   0, 106,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+     84,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     81,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     76,   0,   0,   0,   3,   0,   1,   0,
+     88,   0,   0,   0,   2,   0,   1,   0,
+    122, 111, 110, 101,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101, 108,  97, 121,  65, 100, 100,
+    114, 101, 115, 115,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    108, 111,  97, 100,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      7, 216, 204, 191,   9,  32, 246, 137,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_f22ece0f93db5bf7 = b_f22ece0f93db5bf7.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_f22ece0f93db5bf7[] = {
+  &s_89f62009bfccd807,
+};
+static const uint16_t m_f22ece0f93db5bf7[] = {2, 1, 0};
+static const uint16_t i_f22ece0f93db5bf7[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_f22ece0f93db5bf7 = {
+  0xf22ece0f93db5bf7, b_f22ece0f93db5bf7.words, 64, d_f22ece0f93db5bf7, m_f22ece0f93db5bf7,
+  1, 3, i_f22ece0f93db5bf7, nullptr, nullptr, { &s_f22ece0f93db5bf7, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<48> b_eef3dcc479991b0e = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      14,  27, 153, 121, 196, 220, 243, 238,
@@ -371,6 +449,14 @@
 constexpr ::capnp::_::RawSchema const* LeadMessage::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Report
+constexpr uint16_t Report::_capnpPrivate::dataWordSize;
+constexpr uint16_t Report::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Report::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Report::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // Replaced
 constexpr uint16_t Replaced::_capnpPrivate::dataWordSize;
 constexpr uint16_t Replaced::_capnpPrivate::pointerCount;
--- a/src/protocol/lead_message.capnp.h
+++ b/src/protocol/lead_message.capnp.h
@@ -17,6 +17,7 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(9fed3600d6188081);
+CAPNP_DECLARE_SCHEMA(f22ece0f93db5bf7);
 CAPNP_DECLARE_SCHEMA(eef3dcc479991b0e);
 CAPNP_DECLARE_SCHEMA(89f62009bfccd807);
 CAPNP_DECLARE_SCHEMA(f5317be38cc662b8);
@@ -48,6 +49,21 @@
   };
 };
 
+struct Report {
+  Report() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f22ece0f93db5bf7, 0, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Replaced {
   Replaced() = delete;
 
@@ -119,10 +135,11 @@
 
   inline bool isReport() const;
   inline bool hasReport() const;
-  inline  ::snipehall::wire::LoadReport::Reader getReport() const;
+  inline  ::snipehall::wire::Report::Reader getReport() const;
 
   inline bool isServing() const;
-  inline  ::capnp::Void getServing() const;
+  inline bool hasServing() const;
+  inline  ::capnp::Text::Reader getServing() const;
 
   inline bool isNotServing() const;
   inline  ::capnp::Void getNotServing() const;
@@ -169,15 +186,19 @@
 
   inline bool isReport();
   inline bool hasReport();
-  inline  ::snipehall::wire::LoadReport::Builder getReport();
-  inline void setReport( ::snipehall::wire::LoadReport::Reader value);
-  inline  ::snipehall::wire::LoadReport::Builder initReport();
-  inline void adoptReport(::capnp::Orphan< ::snipehall::wire::LoadReport>&& value);
-  inline ::capnp::Orphan< ::snipehall::wire::LoadReport> disownReport();
+  inline  ::snipehall::wire::Report::Builder getReport();
+  inline void setReport( ::snipehall::wire::Report::Reader value);
+  inline  ::snipehall::wire::Report::Builder initReport();
+  inline void adoptReport(::capnp::Orphan< ::snipehall::wire::Report>&& value);
+  inline ::capnp::Orphan< ::snipehall::wire::Report> disownReport();
 
   inline bool isServing();
-  inline  ::capnp::Void getServing();
-  inline void setServing( ::capnp::Void value = ::capnp::VOID);
+  inline bool hasServing();
+  inline  ::capnp::Text::Builder getServing();
+  inline void setServing( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initServing(unsigned int size);
+  inline void adoptServing(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownServing();
 
   inline bool isNotServing();
   inline  ::capnp::Void getNotServing();
@@ -217,6 +238,108 @@
 };
 #endif  // !CAPNP_LITE
 
+class Report::Reader {
+public:
+  typedef Report Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasZone() const;
+  inline  ::capnp::Text::Reader getZone() const;
+
+  inline bool hasRelayAddress() const;
+  inline  ::capnp::Text::Reader getRelayAddress() const;
+
+  inline bool hasLoad() const;
+  inline  ::snipehall::wire::LoadReport::Reader getLoad() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Report::Builder {
+public:
+  typedef Report Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasZone();
+  inline  ::capnp::Text::Builder getZone();
+  inline void setZone( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initZone(unsigned int size);
+  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownZone();
+
+  inline bool hasRelayAddress();
+  inline  ::capnp::Text::Builder getRelayAddress();
+  inline void setRelayAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRelayAddress(unsigned int size);
+  inline void adoptRelayAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRelayAddress();
+
+  inline bool hasLoad();
+  inline  ::snipehall::wire::LoadReport::Builder getLoad();
+  inline void setLoad( ::snipehall::wire::LoadReport::Reader value);
+  inline  ::snipehall::wire::LoadReport::Builder initLoad();
+  inline void adoptLoad(::capnp::Orphan< ::snipehall::wire::LoadReport>&& value);
+  inline ::capnp::Orphan< ::snipehall::wire::LoadReport> disownLoad();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Report::Pipeline {
+public:
+  typedef Report Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::snipehall::wire::LoadReport::Pipeline getLoad();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Replaced::Reader {
 public:
   typedef Replaced Reads;
@@ -557,41 +680,41 @@
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::snipehall::wire::LoadReport::Reader LeadMessage::Reader::getReport() const {
+inline  ::snipehall::wire::Report::Reader LeadMessage::Reader::getReport() const {
   KJ_IREQUIRE((which() == LeadMessage::REPORT),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::snipehall::wire::LoadReport>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::snipehall::wire::Report>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::snipehall::wire::LoadReport::Builder LeadMessage::Builder::getReport() {
+inline  ::snipehall::wire::Report::Builder LeadMessage::Builder::getReport() {
   KJ_IREQUIRE((which() == LeadMessage::REPORT),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::snipehall::wire::LoadReport>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::snipehall::wire::Report>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void LeadMessage::Builder::setReport( ::snipehall::wire::LoadReport::Reader value) {
+inline void LeadMessage::Builder::setReport( ::snipehall::wire::Report::Reader value) {
   _builder.setDataField<LeadMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, LeadMessage::REPORT);
-  ::capnp::_::PointerHelpers< ::snipehall::wire::LoadReport>::set(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::snipehall::wire::Report>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::snipehall::wire::LoadReport::Builder LeadMessage::Builder::initReport() {
+inline  ::snipehall::wire::Report::Builder LeadMessage::Builder::initReport() {
   _builder.setDataField<LeadMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, LeadMessage::REPORT);
-  return ::capnp::_::PointerHelpers< ::snipehall::wire::LoadReport>::init(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::snipehall::wire::Report>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void LeadMessage::Builder::adoptReport(
-    ::capnp::Orphan< ::snipehall::wire::LoadReport>&& value) {
+    ::capnp::Orphan< ::snipehall::wire::Report>&& value) {
   _builder.setDataField<LeadMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, LeadMessage::REPORT);
-  ::capnp::_::PointerHelpers< ::snipehall::wire::LoadReport>::adopt(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::snipehall::wire::Report>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::snipehall::wire::LoadReport> LeadMessage::Builder::disownReport() {
+inline ::capnp::Orphan< ::snipehall::wire::Report> LeadMessage::Builder::disownReport() {
   KJ_IREQUIRE((which() == LeadMessage::REPORT),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::snipehall::wire::LoadReport>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::snipehall::wire::Report>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
@@ -601,24 +724,52 @@
 inline bool LeadMessage::Builder::isServing() {
   return which() == LeadMessage::SERVING;
 }
-inline  ::capnp::Void LeadMessage::Reader::getServing() const {
+inline bool LeadMessage::Reader::hasServing() const {
+  if (which() != LeadMessage::SERVING) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool LeadMessage::Builder::hasServing() {
+  if (which() != LeadMessage::SERVING) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader LeadMessage::Reader::getServing() const {
   KJ_IREQUIRE((which() == LeadMessage::SERVING),
               "Must check which() before get()ing a union member.");
-  return _reader.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::capnp::Void LeadMessage::Builder::getServing() {
+inline  ::capnp::Text::Builder LeadMessage::Builder::getServing() {
   KJ_IREQUIRE((which() == LeadMessage::SERVING),
               "Must check which() before get()ing a union member.");
-  return _builder.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void LeadMessage::Builder::setServing( ::capnp::Void value) {
+inline void LeadMessage::Builder::setServing( ::capnp::Text::Reader value) {
   _builder.setDataField<LeadMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, LeadMessage::SERVING);
-  _builder.setDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder LeadMessage::Builder::initServing(unsigned int size) {
+  _builder.setDataField<LeadMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LeadMessage::SERVING);
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void LeadMessage::Builder::adoptServing(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  _builder.setDataField<LeadMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LeadMessage::SERVING);
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> LeadMessage::Builder::disownServing() {
+  KJ_IREQUIRE((which() == LeadMessage::SERVING),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool LeadMessage::Reader::isNotServing() const {
@@ -701,6 +852,113 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Report::Reader::hasZone() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Report::Builder::hasZone() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Report::Reader::getZone() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Report::Builder::getZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Report::Builder::setZone( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Report::Builder::initZone(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Report::Builder::adoptZone(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Report::Builder::disownZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Report::Reader::hasRelayAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Report::Builder::hasRelayAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Report::Reader::getRelayAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Report::Builder::getRelayAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Report::Builder::setRelayAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Report::Builder::initRelayAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Report::Builder::adoptRelayAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Report::Builder::disownRelayAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Report::Reader::hasLoad() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Report::Builder::hasLoad() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::snipehall::wire::LoadReport::Reader Report::Reader::getLoad() const {
+  return ::capnp::_::PointerHelpers< ::snipehall::wire::LoadReport>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::snipehall::wire::LoadReport::Builder Report::Builder::getLoad() {
+  return ::capnp::_::PointerHelpers< ::snipehall::wire::LoadReport>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::snipehall::wire::LoadReport::Pipeline Report::Pipeline::getLoad() {
+  return  ::snipehall::wire::LoadReport::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void Report::Builder::setLoad( ::snipehall::wire::LoadReport::Reader value) {
+  ::capnp::_::PointerHelpers< ::snipehall::wire::LoadReport>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::snipehall::wire::LoadReport::Builder Report::Builder::initLoad() {
+  return ::capnp::_::PointerHelpers< ::snipehall::wire::LoadReport>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Report::Builder::adoptLoad(
+    ::capnp::Orphan< ::snipehall::wire::LoadReport>&& value) {
+  ::capnp::_::PointerHelpers< ::snipehall::wire::LoadReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::snipehall::wire::LoadReport> Report::Builder::disownLoad() {
+  return ::capnp::_::PointerHelpers< ::snipehall::wire::LoadReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Replaced::Reader::getTerm() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/protocol/lead_message_codec.cc
+++ b/src/protocol/lead_message_codec.cc
@@ -21,7 +21,7 @@
   return {text.begin(), text.size()};
 }
 
-KeyLoadReport ReadReport(wire::LoadReport::Reader reader) {
+KeyLoadReport ReadLoad(wire::LoadReport::Reader reader) {
   KeyLoadReport report;
   report.service = FromText(reader.getService());
   report.requests_per_key = reader.getRequestsPerKey();
@@ -35,7 +35,7 @@
   return report;
 }
 
-void WriteReport(const KeyLoadReport& report, wire::LoadReport::Builder root) {
+void WriteLoad(const KeyLoadReport& report, wire::LoadReport::Builder root) {
   root.setService(ToText(report.service));
   root.setRequestsPerKey(report.requests_per_key);
   auto keys = root.initKeys(static_cast<unsigned>(report.keys.size()));
@@ -54,10 +54,15 @@
 struct ContentWriter {
   wire::LeadMessage::Builder root;
 
-  void operator()(const KeyLoadReport& report) {
-    WriteReport(report, root.initReport());
+  void operator()(const LeadReport& report) {
+    auto builder = root.initReport();
+    builder.setZone(ToText(report.zone));
+    builder.setRelayAddress(ToText(report.relay_address));
+    WriteLoad(report.load, builder.initLoad());
+  }
+  void operator()(const LeadServing& serving) {
+    root.setServing(ToText(serving.reader));
   }
-  void operator()(const LeadServing&) { root.setServing(); }
   void operator()(const LeadNotServing&) { root.setNotServing(); }
   void operator()(const LeadReplaced& replaced) {
     auto builder = root.initReplaced();
@@ -71,10 +76,13 @@
   message.from = FromText(reader.getFrom());
   switch (reader.which()) {
     case wire::LeadMessage::REPORT:
-      message.content = ReadReport(reader.getReport());
+      message.content =
+          LeadReport{FromText(reader.getReport().getZone()),
+                     FromText(reader.getReport().getRelayAddress()),
+                     ReadLoad(reader.getReport().getLoad())};
       return message;
     case wire::LeadMessage::SERVING:
-      message.content = LeadServing();
+      message.content = LeadServing{FromText(reader.getServing())};
       return message;
     case wire::LeadMessage::NOT_SERVING:
       message.content = LeadNotServing();
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -72,7 +72,7 @@
     WaitForSignal();
     m_log.Write("start", {{"zone", m_settings.zone}});
     m_server->Start();
-    m_control.Start();
+    BOOST_OUTCOME_TRY(m_control.Start());
     ScheduleReports();
     return boost::outcome_v2::success();
   }
--- a/src/transport/gateway/gateway_control.h
+++ b/src/transport/gateway/gateway_control.h
@@ -4,6 +4,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/outcome/try.hpp>
 #include <concepts>
 #include <functional>
 #include <map>
@@ -16,12 +17,14 @@
 
 #include "coordination/key_lead.h"
 #include "coordination/lead_watch.h"
+#include "coordination/relay_planner.h"
 #include "coordination/target_registry.h"
 #include "protocol/key_table_codec.h"
 #include "transport/event_log.h"
 #include "transport/gateway/gateway_metrics.h"
 #include "transport/gateway/gateway_settings.h"
 #include "transport/gateway/lead_link.h"
+#include "transport/gateway/relay_server.h"
 #include "transport/gateway/routing_state.h"
 #include "transport/record_feed.h"
 #include "transport/spawn.h"
@@ -60,7 +63,7 @@
 template <GatewayPlatform Platform>
 class GatewayControl {
  public:
-  GatewayControl(boost::asio::any_io_executor executor,
+  GatewayControl(const Executor& executor,
                  const GatewaySettings& settings,
                  Platform& platform,
                  RoutingState& state,
@@ -68,7 +71,7 @@
                  EventLog& log,
                  LeadLink& link,
                  std::uint64_t seed)
-      : m_executor(std::move(executor)),
+      : m_executor(executor),
         m_platform(platform),
         m_state(state),
         m_metrics(metrics),
@@ -79,24 +82,34 @@
         m_lead(settings.instance, settings.peer_address),
         m_append_log(platform.NewLog()),
         m_lead_timer(m_executor),
+        m_relay(std::make_shared<RelayChoice>()),
         m_policy_feed(m_executor,
-                      platform.NewLog(),
-                      {platform.policy_topic()},
+                      platform.policy_topic(),
+                      NewFeedLog({Milliseconds(0), kWait}),
                       Events("configuration", &GatewayControl::OnPolicyPage)),
         m_target_feed(m_executor,
-                      platform.NewLog(),
-                      {platform.target_topic(), kTargetInterval},
+                      platform.target_topic(),
+                      NewFeedLog({kTargetInterval, Milliseconds(0)}),
                       Events("targets", &GatewayControl::OnTargetPage)),
         m_key_feed(m_executor,
-                   platform.NewLog(),
-                   {platform.key_topic()},
-                   Events("keys", &GatewayControl::OnKeyPage)) {}
-
-  void Start() {
+                   platform.key_topic(),
+                   NewFeedLog({Milliseconds(0), kWait}),
+                   Events("keys", &GatewayControl::OnKeyPage)),
+        m_zone(settings.zone),
+        m_peer_address(settings.peer_address),
+        m_relay_server(executor,
+                       [this](std::string_view topic, std::uint64_t from) {
+                         return FindRecords(topic, from);
+                       }) {}
+
+  // Binds the listener for other instances and starts all work.
+  Result<void> Start() {
+    BOOST_OUTCOME_TRY(m_relay_server.Start(m_peer_address));
     Spawn(m_executor, m_policy_feed.Run());
     Spawn(m_executor, m_target_feed.Run());
     Spawn(m_executor, m_key_feed.Run());
     Spawn(m_executor, RunLead());
+    return boost::outcome_v2::success();
   }
 
   // Configuration, targets and owners are known.
@@ -126,6 +139,8 @@
       for (const KeyLoadReport& report : reports) {
         m_lead.OnLoad(now, report);
       }
+      // The lead reads the log in any case, so its zone reads from it.
+      m_relays.OnReport(now, m_zone, m_peer_address);
       return;
     }
     if (!m_has_keys_end || !HasKeyedService()) {
@@ -135,7 +150,9 @@
       reports.emplace_back();
     }
     for (KeyLoadReport& report : reports) {
-      m_link.Send(m_state.keys().lead_address, {m_instance, std::move(report)});
+      m_link.Send(
+          m_state.keys().lead_address,
+          {m_instance, LeadReport{m_zone, m_peer_address, std::move(report)}});
     }
     m_watch.OnReportSent();
     if (m_watch.IsLost()) {
@@ -145,17 +162,21 @@
 
   void OnMessage(const LeadLink::Endpoint& sender, const LeadMessage& message) {
     const MonotonicTime now = Now();
-    if (const auto* report = std::get_if<KeyLoadReport>(&message.content)) {
+    if (const auto* report = std::get_if<LeadReport>(&message.content)) {
       if (!m_lead.IsNamedLead() || m_draining) {
         m_link.Send(sender, {m_instance, LeadNotServing()});
         return;
       }
-      if (!report->service.empty()) {
-        m_lead.OnLoad(now, *report);
+      if (!report->load.service.empty()) {
+        m_lead.OnLoad(now, report->load);
       }
-      m_link.Send(sender, {m_instance, LeadServing()});
-    } else if (std::holds_alternative<LeadServing>(message.content)) {
+      m_link.Send(sender,
+                  {m_instance, LeadServing{m_relays.OnReport(
+                                   now, report->zone, report->relay_address)}});
+    } else if (const auto* serving =
+                   std::get_if<LeadServing>(&message.content)) {
       m_watch.OnServing(message.from);
+      SetReader(serving->reader);
     } else if (std::holds_alternative<LeadNotServing>(message.content)) {
       m_watch.OnNotServing(message.from);
     } else if (const auto* replaced =
@@ -172,6 +193,7 @@
     m_policy_feed.Close();
     m_target_feed.Close();
     m_key_feed.Close();
+    m_relay_server.Close();
     m_append_log->Close();
     m_lead_timer.cancel();
     for (const auto& [address, idle] : m_order_clients) {
@@ -190,12 +212,13 @@
   // times a second in all, so waiting for records would cost a call for each.
   // A leaving target must be known within two seconds.
   static constexpr Milliseconds kTargetInterval{800};
-  // How long reads of rarely changed topics wait. Dead connections are found
-  // by keep-alive probes, not by the end of the wait.
-  static constexpr Milliseconds kLongWait{20000};
-  // A lead's reads confirm it, so they must end well within
+  // How long reads of rarely changed topics wait. The log may leave a read
+  // unanswered after an outage, and a change must be known within two seconds;
+  // a lead's reads confirm it, so they must end well within
   // KeyLead::kLeadLease.
-  static constexpr Milliseconds kLeadWait{800};
+  static constexpr Milliseconds kWait{800};
+  // Time between two looks at due orders of an instance that is not the lead.
+  static constexpr Milliseconds kIdleTick{20000};
   // Time between two looks at due orders.
   static constexpr Milliseconds kLeadTick{100};
   static constexpr Milliseconds kCallLimit{1000};
@@ -214,12 +237,43 @@
   typename Feed::Events Events(
       const char* topic,
       void (GatewayControl::*on_page)(const RecordPage&, bool)) {
-    return {[this, topic, on_page](const RecordPage& page, bool whole) {
-              NoteDependency(topic, std::nullopt);
-              (this->*on_page)(page, whole);
-            },
-            [this, topic](const Error& error) { NoteDependency(topic, error); },
-            [this] { return m_lead.IsNamedLead() ? kLeadWait : kLongWait; }};
+    return {
+        [this, topic, on_page](const RecordPage& page, bool whole) {
+          NoteDependency(topic, std::nullopt);
+          (this->*on_page)(page, whole);
+          if (!page.records.empty()) {
+            m_relay_server.Notify();
+          }
+        },
+        [this, topic](const Error& error) { NoteDependency(topic, error); }};
+  }
+
+  std::shared_ptr<RelayedLog<typename Platform::Log>> NewFeedLog(
+      typename RelayedLog<typename Platform::Log>::Pace pace) {
+    return std::make_shared<RelayedLog<typename Platform::Log>>(
+        m_executor, m_platform.NewLog(), m_relay, pace);
+  }
+
+  std::optional<RecordPage> FindRecords(std::string_view topic,
+                                        std::uint64_t from) const {
+    for (const Feed* feed : {&m_policy_feed, &m_target_feed, &m_key_feed}) {
+      if (feed->topic() == topic) {
+        return feed->cache().Read(from);
+      }
+    }
+    return std::nullopt;
+  }
+
+  // Reads the log's records from `reader`, or from the log itself when that is
+  // this instance, or this instance is the lead.
+  void SetReader(const std::string& reader) {
+    const bool direct = reader == m_peer_address || m_lead.IsNamedLead();
+    const std::string address = direct ? std::string() : reader;
+    if (address != m_relay->address) {
+      m_log.Write("reader", {{"address", address}});
+      m_relay->address = address;
+      m_relay->direct_until = MonotonicTime();
+    }
   }
 
   // Logs that a feed was lost or regained.
@@ -345,6 +399,9 @@
                   {m_instance, LeadReplaced{table.term, holds}});
     }
     m_lead.OnTable(now, std::move(table));
+    if (m_lead.IsNamedLead()) {
+      SetReader(m_peer_address);
+    }
   }
 
   void WakeLead() {
@@ -354,7 +411,7 @@
 
   boost::asio::awaitable<void> RunLead() {
     while (!m_stopped) {
-      m_lead_timer.expires_after(m_lead.IsNamedLead() ? kLeadTick : kLongWait);
+      m_lead_timer.expires_after(m_lead.IsNamedLead() ? kLeadTick : kIdleTick);
       if (!m_wake_lead) {
         co_await m_lead_timer.async_wait(
             boost::asio::as_tuple(boost::asio::use_awaitable));
@@ -471,9 +528,15 @@
   std::map<std::string, std::vector<std::shared_ptr<Orders>>> m_order_clients;
   std::map<std::string, bool> m_lost;
   boost::asio::steady_timer m_lead_timer;
+  // Shared by the feeds.
+  std::shared_ptr<RelayChoice> m_relay;
+  RelayPlanner m_relays;
   Feed m_policy_feed;
   Feed m_target_feed;
   Feed m_key_feed;
+  ZoneName m_zone;
+  std::string m_peer_address;
+  RelayServer m_relay_server;
   // End of the key topic that the known table reflects.
   std::uint64_t m_keys_end = 0;
   bool m_has_keys_end = false;
--- a/src/transport/gateway/gateway_server.cc
+++ b/src/transport/gateway/gateway_server.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "protocol/http_rules.h"
+#include "transport/gateway/bind_acceptor.h"
 #include "transport/gateway/gateway_session.h"
 
 namespace snipehall {
@@ -14,35 +15,9 @@
 
 using boost::system::error_code;
 
-// Connections that may wait to be accepted: those of a burst that arrives while
-// the process has no turn.
-constexpr int kBacklog = 512;
-// Pause after a failed accept, which usually means that descriptors ran out.
-constexpr Milliseconds kAcceptPause{20};
 // A connection with questions is closed after this long without one.
 constexpr Milliseconds kQuestionIdle{10000};
 
-template <typename Acceptor>
-Result<void> Bind(Acceptor& acceptor, const std::string& address) {
-  BOOST_OUTCOME_TRY(const auto endpoint, ParseEndpoint(address));
-  error_code error;
-  acceptor.open(endpoint.protocol(), error);
-  if (!error) {
-    acceptor.set_option(boost::asio::socket_base::reuse_address(true), error);
-  }
-  if (!error) {
-    acceptor.bind(endpoint, error);
-  }
-  if (!error) {
-    acceptor.listen(kBacklog, error);
-  }
-  if (error) {
-    return Fail(ErrorCode::kUnavailable,
-                "cannot listen at " + address + ": " + error.message());
-  }
-  return boost::outcome_v2::success();
-}
-
 }  // namespace
 
 GatewayServer::GatewayServer(GatewayContext& context,
@@ -58,8 +33,8 @@
     std::function<bool()> is_ready) {
   auto server = std::unique_ptr<GatewayServer>(
       new GatewayServer(context, std::move(is_ready)));
-  BOOST_OUTCOME_TRY(Bind(server->m_callers, settings.caller_address));
-  BOOST_OUTCOME_TRY(Bind(server->m_questions, settings.status_address));
+  BOOST_OUTCOME_TRY(BindAcceptor(server->m_callers, settings.caller_address));
+  BOOST_OUTCOME_TRY(BindAcceptor(server->m_questions, settings.status_address));
   return server;
 }
 
--- /dev/null
+++ b/src/transport/gateway/relay_server.cc
@@ -0,0 +1,170 @@
+#include "transport/gateway/relay_server.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/outcome/try.hpp>
+#include <boost/url/parse.hpp>
+#include <boost/url/url_view.hpp>
+#include <charconv>
+
+#include "protocol/http_rules.h"
+#include "protocol/record_page_codec.h"
+#include "transport/deadline_timer.h"
+#include "transport/gateway/bind_acceptor.h"
+
+namespace snipehall {
+
+namespace {
+
+using boost::system::error_code;
+
+// A question may wait at most this long.
+constexpr Milliseconds kLongestWait{5000};
+// A connection without questions is closed after this long.
+constexpr Milliseconds kIdle{30000};
+
+std::optional<std::uint64_t> Number(const boost::urls::url_view& url,
+                                    const char* name) {
+  const auto found = url.params().find(name);
+  if (found == url.params().end()) {
+    return std::nullopt;
+  }
+  const std::string text((*found).value);
+  std::uint64_t value = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, value);
+  if (parsed.ec != std::errc() || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+}  // namespace
+
+RelayServer::RelayServer(const Executor& executor, Lookup lookup)
+    : m_executor(executor), m_acceptor(executor), m_lookup(std::move(lookup)) {}
+
+Result<void> RelayServer::Start(const std::string& address) {
+  BOOST_OUTCOME_TRY(BindAcceptor(m_acceptor, address));
+  boost::asio::co_spawn(m_executor, Accept(), boost::asio::detached);
+  return boost::outcome_v2::success();
+}
+
+Task<void> RelayServer::Accept() {
+  Timer pause(m_executor);
+  while (m_acceptor.is_open()) {
+    Socket socket(m_executor);
+    const auto [error] = co_await m_acceptor.async_accept(socket, kTask);
+    if (!error) {
+      boost::asio::co_spawn(m_executor, Serve(std::move(socket)),
+                            boost::asio::detached);
+    } else if (m_acceptor.is_open()) {
+      pause.expires_after(kAcceptPause);
+      co_await pause.async_wait(kTask);
+    }
+  }
+}
+
+std::optional<RelayServer::Question> RelayServer::Parse(std::string_view head) {
+  const std::string_view line = head.substr(0, head.find("\r\n"));
+  const std::size_t begin = line.find(' ');
+  const std::size_t end = line.rfind(' ');
+  if (begin == std::string_view::npos || end <= begin) {
+    return std::nullopt;
+  }
+  const auto url = boost::urls::parse_origin_form(
+      {line.data() + begin + 1, end - begin - 1});
+  if (!url || url->path() != "/records") {
+    return std::nullopt;
+  }
+  const auto topic = url->params().find("topic");
+  const auto from = Number(*url, "from");
+  const auto wait = Number(*url, "wait_ms");
+  if (topic == url->params().end() || !from || !wait) {
+    return std::nullopt;
+  }
+  Question question;
+  question.topic = std::string((*topic).value);
+  question.from = *from;
+  question.deadline =
+      std::chrono::steady_clock::now() +
+      std::min(kLongestWait, Milliseconds(static_cast<std::int64_t>(*wait)));
+  return question;
+}
+
+Task<std::optional<RecordPage>> RelayServer::Wait(const Question& question) {
+  AsyncEvent event(m_executor);
+  const auto position = m_waiting.insert(m_waiting.end(), &event);
+  const auto timer =
+      std::make_shared<DeadlineTimer>(m_executor, [&event] { event.Notify(); });
+  timer->Arm(question.deadline);
+  std::optional<RecordPage> page = m_lookup(question.topic, question.from);
+  while (page && page->end <= question.from &&
+         std::chrono::steady_clock::now() < question.deadline) {
+    co_await event.Wait();
+    page = m_lookup(question.topic, question.from);
+  }
+  timer->Close();
+  m_waiting.erase(position);
+  co_return page;
+}
+
+Task<void> RelayServer::Serve(Socket socket) {
+  const auto stream = std::make_shared<ByteStream>(std::move(socket));
+  m_streams.insert(stream.get());
+  const auto timer = std::make_shared<DeadlineTimer>(
+      m_executor, [raw = stream.get()] { raw->Cancel(); });
+  error_code error;
+  while (!error) {
+    timer->Arm(std::chrono::steady_clock::now() + kIdle);
+    std::size_t size = 0;
+    while (!error && (size = FindHeadEnd(stream->data())) == 0) {
+      error = co_await stream->Fill();
+    }
+    if (error) {
+      break;
+    }
+    const std::optional<Question> question =
+        Parse(stream->data().substr(0, size));
+    stream->Consume(size);
+    timer->Disarm();
+    std::optional<RecordPage> page;
+    if (question) {
+      page = co_await Wait(*question);
+    }
+    std::string body;
+    if (page) {
+      body = EncodeRecordPage(*page, std::chrono::steady_clock::now());
+    }
+    std::string head =
+        page ? "HTTP/1.1 200 OK\r\n" : "HTTP/1.1 404 Not Found\r\n";
+    head.append("Content-Length: ")
+        .append(std::to_string(body.size()))
+        .append("\r\n\r\n");
+    std::size_t written = 0;
+    timer->Arm(std::chrono::steady_clock::now() + kIdle);
+    error = co_await stream->Write(
+        {boost::asio::buffer(head), boost::asio::buffer(body), {}, {}},
+        written);
+  }
+  timer->Close();
+  m_streams.erase(stream.get());
+  stream->Close();
+}
+
+void RelayServer::Notify() {
+  for (AsyncEvent* event : m_waiting) {
+    event->Notify();
+  }
+}
+
+void RelayServer::Close() {
+  error_code ignored;
+  m_acceptor.close(ignored);
+  for (ByteStream* stream : m_streams) {
+    stream->Cancel();
+  }
+}
+
+}  // namespace snipehall
--- a/src/transport/record_log.h
+++ b/src/transport/record_log.h
@@ -4,28 +4,13 @@
 #include <concepts>
 #include <cstdint>
 #include <string>
-#include <vector>
 
+#include "state/record_page.h"
 #include "state/result.h"
 #include "state/types.h"
 
 namespace snipehall {
 
-// A record of a topic in which the newest record of each key is kept.
-struct KeyedRecord {
-  std::string key;
-  // Empty when the key was dropped.
-  std::string value;
-};
-
-struct RecordPage {
-  // Just before the read was sent.
-  MonotonicTime began;
-  // Offset of the next record of the topic.
-  std::uint64_t end = 0;
-  std::vector<KeyedRecord> records;
-};
-
 // The platform's log with topics of keyed records. Every call ends by its
 // deadline, with the errors of transport/platform.h.
 //
--- a/tests/unit/key_codec_test.cc
+++ b/tests/unit/key_codec_test.cc
@@ -42,11 +42,15 @@
   report.keys = {1, 65535, 1};
   report.requests_per_key = 2;
   report.targets = {{"a", 3, Milliseconds(450)}};
-  const std::string bytes = EncodeLeadMessage({"entry-2", report});
+  const std::string bytes = EncodeLeadMessage(
+      {"entry-2", LeadReport{"zone-1", "127.0.0.1:7001", report}});
   const auto decoded = DecodeLeadMessage({bytes.data(), bytes.size()});
   cr_assert(decoded.has_value());
   cr_assert(decoded.value().from == "entry-2");
-  cr_assert(std::get<KeyLoadReport>(decoded.value().content) == report);
+  const auto& content = std::get<LeadReport>(decoded.value().content);
+  cr_assert(content.load == report);
+  cr_assert(content.zone == "zone-1");
+  cr_assert(content.relay_address == "127.0.0.1:7001");
 }
 
 Test(lead_message_codec, replaced_survives) {
