--- a/tests/standins/keyed_target.cc
+++ b/tests/standins/keyed_target.cc
@@ -60,7 +60,9 @@
         m_options(options),
         m_store(context.get_executor(), options.store, 1 << 20),
         m_timer(context),
+        m_tick(context),
         m_random(std::hash<std::string>()(options.id)) {
+    Tick();
     m_events = ::open(options.events.c_str(),
                       O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
   }
@@ -115,6 +117,10 @@
   }
 
  private:
+  static constexpr Milliseconds kTickInterval{20};
+  // A longer gap between two ticks is a time in which the process stood still.
+  static constexpr Milliseconds kFreeze{100};
+
   struct Hold {
     KeyNumber first = 0;
     KeyNumber last = 0;
@@ -127,6 +133,33 @@
     return {value.data(), value.size()};
   }
 
+  // Notices when the process stood still.
+  void Tick() {
+    const auto now = steady_clock::now();
+    if (m_ticked_at != steady_clock::time_point() &&
+        now - m_ticked_at > kFreeze) {
+      m_froze_at = m_ticked_at;
+      m_thawed_at = now;
+    }
+    m_ticked_at = now;
+    m_tick.expires_after(kTickInterval);
+    m_tick.async_wait([this](const auto& error) {
+      if (!error) {
+        Tick();
+      }
+    });
+  }
+
+  // When the call that is read now arrived, at the earliest: one that is read
+  // just after the process stood still may have come at any time in between.
+  steady_clock::time_point ArrivalTime() const {
+    const auto now = steady_clock::now();
+    if (now - m_ticked_at > kFreeze) {
+      return m_ticked_at;
+    }
+    return now - m_thawed_at < kFreeze ? m_froze_at : now;
+  }
+
   void Note(json::object event) {
     event["target"] = m_options.id;
     event["ms"] = NowMs();
@@ -181,14 +214,18 @@
       session->Answer(HttpResponse(http::status::conflict, 11));
       return;
     }
+    // The hold counts from the arrival of the call.
+    const auto until = ArrivalTime() + hold.value();
     Drop(first, last, fence);
-    m_holds.push_back({first, last, fence, steady_clock::now() + hold.value()});
+    m_holds.push_back({first, last, fence, until});
     m_seen.push_back({first, last, fence, {}});
     Note({{"event", "grant"},
           {"first", first},
           {"last", last},
           {"fence", fence},
-          {"until_ms", NowMs() + hold.value().count()}});
+          {"until_ms",
+           std::chrono::duration_cast<Milliseconds>(until.time_since_epoch())
+               .count()}});
     session->Answer(HttpResponse(http::status::ok, 11));
   }
 
@@ -270,6 +307,10 @@
   TargetOptions m_options;
   HttpConnection m_store;
   asio::steady_timer m_timer;
+  asio::steady_timer m_tick;
+  steady_clock::time_point m_ticked_at;
+  steady_clock::time_point m_froze_at;
+  steady_clock::time_point m_thawed_at;
   std::mt19937_64 m_random;
   GatewayHeaderNames m_names = platform::kHeaderNames;
   int m_events = -1;
