Keep lapsed targets only when many are missing at once

Change: entries that are missing after an interruption count as lapsed when they are half of all; else they are gone. Ruled out: old reports; the log shows the target's first report only.

--- a/src/coordination/target_registry.cc
+++ b/src/coordination/target_registry.cc
@@ -1,7 +1,7 @@
 #include "coordination/target_registry.h"
 
+#include <algorithm>
 #include <utility>
-#include <vector>
 
 namespace snipehall {
 
@@ -21,16 +21,30 @@
 
 }  // namespace
 
-void TargetRegistry::OnRead(MonotonicTime now) {
-  if (m_read_at && now > *m_read_at + kOutage) {
-    m_return_until = now + kReturnTime;
+void TargetRegistry::OnRead(MonotonicTime now, Changes changes, bool whole) {
+  if (whole) {
+    for (const auto& [id, target] : m_targets) {
+      changes.try_emplace(id, std::nullopt);
+    }
   }
+  const auto removed =
+      std::count_if(changes.begin(), changes.end(), [this](const auto& change) {
+        return !change.second && m_targets.contains(change.first);
+      });
+  const bool interrupted = m_read_at && now > *m_read_at + kOutage;
   m_read_at = now;
+  if (interrupted && static_cast<double>(removed) >=
+                         kLapsedPart * static_cast<double>(m_targets.size())) {
+    m_return_until = now + kReturnTime;
+  }
+  for (auto& [id, entry] : changes) {
+    Apply(now, id, std::move(entry));
+  }
 }
 
-void TargetRegistry::OnEntry(MonotonicTime now,
-                             std::string_view id,
-                             std::optional<ListedTarget> entry) {
+void TargetRegistry::Apply(MonotonicTime now,
+                           const TargetId& id,
+                           std::optional<ListedTarget> entry) {
   if (!entry) {
     Remove(now, id);
     return;
@@ -54,21 +68,6 @@
   m_targets.insert_or_assign(TargetId(id), *std::move(entry));
 }
 
-void TargetRegistry::OnWholeList(MonotonicTime now, TargetList entries) {
-  std::vector<TargetId> gone;
-  for (const auto& [id, target] : m_targets) {
-    if (!entries.contains(id)) {
-      gone.push_back(id);
-    }
-  }
-  for (const TargetId& id : gone) {
-    Remove(now, id);
-  }
-  for (auto& [id, entry] : entries) {
-    OnEntry(now, id, std::move(entry));
-  }
-}
-
 void TargetRegistry::Remove(MonotonicTime now, std::string_view id) {
   const auto known = m_targets.find(id);
   if (known == m_targets.end()) {
--- a/src/coordination/target_registry.h
+++ b/src/coordination/target_registry.h
@@ -10,9 +10,10 @@
 
 // The targets that an instance may use, from the platform's list.
 //
-// Entries that lapse while the list cannot be written come back soon after, so
-// a target that is missing after an outage is kept for kReturnTime. At other
-// times an entry that goes means that its target leaves.
+// Entries that lapse while the list cannot be written come back soon after. So
+// when many targets are missing at once after an interruption, they are kept
+// for kReturnTime. Otherwise an entry that goes means that its target leaves,
+// also one that went while this instance alone was cut off.
 class TargetRegistry {
  public:
   // A gap between two reads from which on the list counts as interrupted.
@@ -21,18 +22,18 @@
   // as the platform states.
   static constexpr Milliseconds kReturnTime{2300};
 
-  // The list was read at `now`; its entries follow.
-  void OnRead(MonotonicTime now);
+  // Part of the known targets that are missing at once from which on the
+  // entries count as lapsed.
+  static constexpr double kLapsedPart = 0.5;
 
-  // An entry, or with no value its end. Entries that are older than the newest
-  // one, from a target's earlier start or report, are ignored, and a process
-  // that leaves does not come back.
-  void OnEntry(MonotonicTime now,
-               std::string_view id,
-               std::optional<ListedTarget> entry);
+  // An entry for each target, or no value for one whose entry went.
+  using Changes = std::map<TargetId, std::optional<ListedTarget>, std::less<>>;
 
-  // The whole list was read and has none but `entries`.
-  void OnWholeList(MonotonicTime now, TargetList entries);
+  // The list was read at `now` with the changes since the last read, or, with
+  // `whole`, with all entries that it has. Entries that are older than the
+  // newest one of their target, from an earlier start or report, are ignored,
+  // and a process that leaves does not come back.
+  void OnRead(MonotonicTime now, Changes changes, bool whole);
 
   // Drops targets that did not come back in time.
   void Expire(MonotonicTime now);
@@ -44,6 +45,9 @@
   const TargetList& targets() const { return m_targets; }
 
  private:
+  void Apply(MonotonicTime now,
+             const TargetId& id,
+             std::optional<ListedTarget> entry);
   void Remove(MonotonicTime now, std::string_view id);
 
   TargetList m_targets;
--- a/src/transport/gateway/gateway_control.h
+++ b/src/transport/gateway/gateway_control.h
@@ -337,27 +337,21 @@
 
   void OnTargetPage(const RecordPage& page, bool whole) {
     const MonotonicTime now = Now();
-    m_registry.OnRead(now);
-    TargetList entries;
+    TargetRegistry::Changes changes;
     for (const KeyedRecord& record : page.records) {
-      std::optional<ListedTarget> entry;
-      if (!record.value.empty()) {
-        auto parsed = m_platform.ParseTarget(record.key, record.value, now);
-        if (parsed) {
-          entry = std::move(parsed).value();
-        } else {
-          m_metrics.Count("unreadable_target");
-        }
+      std::optional<ListedTarget>& change = changes[record.key];
+      change.reset();
+      if (record.value.empty()) {
+        continue;
       }
-      if (whole && entry) {
-        entries.insert_or_assign(record.key, *std::move(entry));
-      } else if (!whole) {
-        m_registry.OnEntry(now, record.key, std::move(entry));
+      auto parsed = m_platform.ParseTarget(record.key, record.value, now);
+      if (parsed) {
+        change = std::move(parsed).value();
+      } else {
+        m_metrics.Count("unreadable_target");
       }
     }
-    if (whole) {
-      m_registry.OnWholeList(now, std::move(entries));
-    }
+    m_registry.OnRead(now, std::move(changes), whole);
     m_registry.Expire(now);
     m_has_targets = true;
     if (m_registry.TakeChanged()) {
--- a/tests/unit/target_registry_test.cc
+++ b/tests/unit/target_registry_test.cc
@@ -17,23 +17,28 @@
   return target;
 }
 
+// Reads a page with one change.
+void Read(TargetRegistry& registry,
+          MonotonicTime now,
+          std::optional<ListedTarget> entry) {
+  TargetRegistry::Changes changes;
+  changes.emplace("a", std::move(entry));
+  registry.OnRead(now, std::move(changes), false);
+}
+
 Test(target_registry, entry_that_goes_ends_its_target) {
   TargetRegistry registry;
-  registry.OnRead(kStart);
-  registry.OnEntry(kStart, "a", Entry(1));
-  registry.OnRead(kStart + Milliseconds(800));
-  registry.OnEntry(kStart + Milliseconds(800), "a", std::nullopt);
+  Read(registry, kStart, Entry(1));
+  Read(registry, kStart + Milliseconds(800), std::nullopt);
   cr_assert(registry.targets().empty());
 }
 
 // Guards against an instance without targets after an outage of the list.
 Test(target_registry, lapsed_entry_may_come_back_after_an_outage) {
   TargetRegistry registry;
-  registry.OnRead(kStart);
-  registry.OnEntry(kStart, "a", Entry(1));
+  Read(registry, kStart, Entry(1));
   const MonotonicTime back = kStart + Milliseconds(6000);
-  registry.OnRead(back);
-  registry.OnEntry(back, "a", std::nullopt);
+  Read(registry, back, std::nullopt);
   cr_assert_eq(registry.targets().size(), 1);
   registry.Expire(back + TargetRegistry::kReturnTime - Milliseconds(1));
   cr_assert_eq(registry.targets().size(), 1);
@@ -41,14 +46,24 @@
   cr_assert(registry.targets().empty());
 }
 
+// Guards against work for a target that left while this instance was cut off.
+Test(target_registry, single_entry_that_went_in_an_interruption_is_gone) {
+  TargetRegistry registry;
+  TargetRegistry::Changes changes;
+  for (const char* id : {"a", "b", "c", "d"}) {
+    changes.emplace(id, Entry(1));
+  }
+  registry.OnRead(kStart, std::move(changes), true);
+  Read(registry, kStart + Milliseconds(9000), std::nullopt);
+  cr_assert_eq(registry.targets().size(), 3);
+}
+
 Test(target_registry, returned_entry_stays) {
   TargetRegistry registry;
-  registry.OnRead(kStart);
-  registry.OnEntry(kStart, "a", Entry(1));
+  Read(registry, kStart, Entry(1));
   const MonotonicTime back = kStart + Milliseconds(6000);
-  registry.OnRead(back);
-  registry.OnEntry(back, "a", std::nullopt);
-  registry.OnEntry(back + Milliseconds(500), "a", Entry(2));
+  Read(registry, back, std::nullopt);
+  Read(registry, back + Milliseconds(500), Entry(2));
   registry.Expire(back + TargetRegistry::kReturnTime);
   cr_assert_eq(registry.targets().size(), 1);
 }
@@ -56,13 +71,12 @@
 // Guards against work for a leaving target after a late, older report.
 Test(target_registry, older_reports_are_ignored) {
   TargetRegistry registry;
-  registry.OnRead(kStart);
   ListedTarget leaving = Entry(5);
   leaving.leaving = true;
-  registry.OnEntry(kStart, "a", leaving);
-  registry.OnEntry(kStart, "a", Entry(4));
+  Read(registry, kStart, leaving);
+  Read(registry, kStart, Entry(4));
   cr_assert(registry.targets().at("a").leaving);
-  registry.OnEntry(kStart, "a", Entry(1, 2));
+  Read(registry, kStart, Entry(1, 2));
   cr_assert_not(registry.targets().at("a").leaving, "a new start counts anew");
 }
 
@@ -70,25 +84,23 @@
 // that was delayed.
 Test(target_registry, leaving_target_does_not_come_back) {
   TargetRegistry registry;
-  registry.OnRead(kStart);
   ListedTarget leaving = Entry(5);
   leaving.leaving = true;
-  registry.OnEntry(kStart, "a", leaving);
-  registry.OnEntry(kStart, "a", std::nullopt);
-  registry.OnEntry(kStart, "a", Entry(4));
+  Read(registry, kStart, leaving);
+  Read(registry, kStart, std::nullopt);
+  Read(registry, kStart, Entry(4));
   cr_assert(registry.targets().empty());
-  registry.OnEntry(kStart, "a", Entry(6));
+  Read(registry, kStart, Entry(6));
   cr_assert(registry.targets().at("a").leaving);
-  registry.OnEntry(kStart, "a", Entry(1, 2));
+  Read(registry, kStart, Entry(1, 2));
   cr_assert_not(registry.targets().at("a").leaving, "a new start counts anew");
 }
 
 Test(target_registry, repeated_reports_are_no_change) {
   TargetRegistry registry;
-  registry.OnRead(kStart);
-  registry.OnEntry(kStart, "a", Entry(1));
+  Read(registry, kStart, Entry(1));
   cr_assert(registry.TakeChanged());
-  registry.OnEntry(kStart, "a", Entry(2));
+  Read(registry, kStart, Entry(2));
   cr_assert_not(registry.TakeChanged());
 }
 
