Hold back a new owner while an older table's grant may last

While the table that took keys from a silent target was being appended, the target answered a probe and got a grant by the older table; the new owner was granted 13 ms later, since the new table named no earlier owner. Change: when a table comes, the owners of the older one that may still hold its ranges are remembered and released first.

--- a/src/coordination/key_lead.cc
+++ b/src/coordination/key_lead.cc
@@ -1,6 +1,7 @@
 #include "coordination/key_lead.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "coordination/key_balancer.h"
 
@@ -35,7 +36,7 @@
 
 void KeyLead::OnTable(MonotonicTime now, KeyTable table) {
   const bool was_lead = m_has_table && m_table.lead == m_self;
-  m_table = std::move(table);
+  const KeyTable old = std::exchange(m_table, std::move(table));
   m_has_table = true;
   if (!IsNamedLead()) {
     m_ranges.clear();
@@ -59,6 +60,13 @@
       const auto known = m_ranges.find({service, item.first});
       if (known != m_ranges.end() && known->second.fence == item.fence) {
         state = known->second;
+      } else {
+        const auto ranges_before = old.services.find(service);
+        state.earlier = EarlierOwners(
+            now, item,
+            ranges_before == old.services.end()
+                ? std::span<const KeyAssignment>()
+                : std::span<const KeyAssignment>(ranges_before->second));
       }
       state.fence = item.fence;
       state.last = item.last;
@@ -149,8 +157,7 @@
   return same_process && !IsGone(range.owner) && IsHeld(now, range.owner);
 }
 
-std::vector<KeyCandidate> KeyLead::Candidates(MonotonicTime now,
-                                              std::string_view service) const {
+std::vector<KeyCandidate> KeyLead::Candidates(std::string_view service) const {
   std::vector<KeyCandidate> result;
   for (const auto& [id, target] : m_targets) {
     if (target.service == service && !target.leaving && !IsGone(id)) {
@@ -163,7 +170,7 @@
 bool KeyLead::PlanService(MonotonicTime now,
                           const ServiceName& service,
                           KeyTable& next) const {
-  const std::vector<KeyCandidate> candidates = Candidates(now, service);
+  const std::vector<KeyCandidate> candidates = Candidates(service);
   if (candidates.empty()) {
     return false;
   }
@@ -194,7 +201,7 @@
     MonotonicTime now,
     std::string_view service,
     std::span<const KeyAssignment> ranges) const {
-  std::vector<KeyCandidate> result = Candidates(now, service);
+  std::vector<KeyCandidate> result = Candidates(service);
   std::erase_if(result, [&](const KeyCandidate& item) {
     return IsSilent(item.id) &&
            std::none_of(ranges.begin(), ranges.end(), [&](const auto& range) {
@@ -212,7 +219,7 @@
   if (load == m_loads.end() || ranges == next.services.end()) {
     return false;
   }
-  std::vector<KeyCandidate> candidates = Candidates(now, service);
+  std::vector<KeyCandidate> candidates = Candidates(service);
   std::erase_if(candidates,
                 [this](const KeyCandidate& item) { return IsSilent(item.id); });
   std::vector<KeyAssignment> planned = KeyBalancer::Plan(
@@ -265,11 +272,31 @@
   return next;
 }
 
-bool KeyLead::ReadyToGrant(MonotonicTime now,
-                           const KeyAssignment& range,
-                           const RangeState& state) const {
-  return !range.moving() || state.released || IsGone(range.previous) ||
-         !IsHeld(now, range.previous);
+const TargetId* KeyLead::FindHolder(MonotonicTime now,
+                                    const RangeState& state) const {
+  const auto found = std::find_if(
+      state.earlier.begin(), state.earlier.end(), [&](const TargetId& target) {
+        return !IsGone(target) && IsHeld(now, target);
+      });
+  return found == state.earlier.end() ? nullptr : &*found;
+}
+
+std::vector<TargetId> KeyLead::EarlierOwners(
+    MonotonicTime now,
+    const KeyAssignment& range,
+    std::span<const KeyAssignment> old_ranges) const {
+  std::vector<TargetId> owners;
+  if (range.moving()) {
+    owners.push_back(range.previous);
+  }
+  for (const KeyAssignment& old : old_ranges) {
+    const bool overlaps = old.first <= range.last && range.first <= old.last;
+    if (overlaps && old.fence != range.fence && old.owner != range.owner &&
+        old.owner != range.previous && MayHold(now, old)) {
+      owners.push_back(old.owner);
+    }
+  }
+  return owners;
 }
 
 std::vector<KeyOrder> KeyLead::TakeOrders(MonotonicTime now) {
@@ -287,9 +314,9 @@
       order.first = item.first;
       order.last = item.last;
       order.fence = item.fence;
-      const bool grants = ReadyToGrant(now, item, state);
-      const ListedTarget* target =
-          FindKnown(grants ? item.owner : item.previous);
+      const TargetId* holder = FindHolder(now, state);
+      const bool grants = holder == nullptr;
+      const ListedTarget* target = FindKnown(grants ? item.owner : *holder);
       if (target == nullptr ||
           (grants &&
            (target->born_ms != item.owner_born_ms || IsSilent(item.owner)))) {
@@ -381,7 +408,7 @@
     switch (result.outcome) {
       case KeyOrderOutcome::kDone:
         if (order.kind == KeyOrder::Kind::kRelease) {
-          state.released = true;
+          std::erase(state.earlier, order.target);
           state.handover = result.handover;
           state.next_order = now;
         } else {
--- a/src/coordination/key_lead.h
+++ b/src/coordination/key_lead.h
@@ -165,7 +165,10 @@
     MonotonicTime next_order;
     bool in_flight = false;
     bool granted = false;
-    bool released = false;
+    // Earlier owners that may still hold keys of the range: the one that the
+    // table names, and those of an older table that got a grant while the newer
+    // one was on its way.
+    std::vector<TargetId> earlier;
     // The target has seen a greater token: another lead is at work.
     bool fenced = false;
     std::string handover;
@@ -175,11 +178,14 @@
   bool IsGone(std::string_view target) const;
   // Whether the target may still hold keys that it was granted.
   bool MayHold(MonotonicTime now, const KeyAssignment& range) const;
-  std::vector<KeyCandidate> Candidates(MonotonicTime now,
-                                       std::string_view service) const;
-  bool ReadyToGrant(MonotonicTime now,
-                    const KeyAssignment& range,
-                    const RangeState& state) const;
+  std::vector<KeyCandidate> Candidates(std::string_view service) const;
+  // The first earlier owner that may still hold keys of the range, or null.
+  const TargetId* FindHolder(MonotonicTime now, const RangeState& state) const;
+  // The earlier owners of a range of a new table.
+  std::vector<TargetId> EarlierOwners(
+      MonotonicTime now,
+      const KeyAssignment& range,
+      std::span<const KeyAssignment> old_ranges) const;
   bool IsSilent(std::string_view target) const {
     return m_next_probe.contains(target);
   }
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -86,8 +86,10 @@
   static constexpr Milliseconds kStopTick{50};
   // Time between two reports of load to the lead.
   static constexpr Milliseconds kReportInterval{400};
-  // Left of the time to stop when the process ends at the latest.
-  static constexpr Milliseconds kStopReserve{300};
+  // Left of the time to stop when the process ends at the latest: a slow
+  // machine takes a while to end it, and the platform excuses work in the last
+  // sixth.
+  static constexpr Milliseconds kStopReserve{900};
 
   static MonotonicTime Now() { return std::chrono::steady_clock::now(); }
 
--- a/src/transport/gateway/gateway_control.h
+++ b/src/transport/gateway/gateway_control.h
@@ -474,7 +474,7 @@
     m_metrics.Count(end ? "keys_appended" : "keys_append_failed");
     if (end && m_keys_end == at) {
       m_keys_end = end.value();
-      ApplyKeys(Now(), std::move(table));
+      ApplyKeys(Now(), table);
     } else if (end.has_error()) {
       // The key feed shows what was appended, by whomever.
       m_log.Write("keys_append_failed", {{"error", end.error().message}});
--- a/src/transport/record_feed.h
+++ b/src/transport/record_feed.h
@@ -28,11 +28,11 @@
     std::function<void(const Error& error)> on_failure;
   };
 
-  RecordFeed(boost::asio::any_io_executor executor,
+  RecordFeed(const boost::asio::any_io_executor& executor,
              std::string topic,
              std::shared_ptr<RelayedLog<Log>> log,
              Events events)
-      : m_timer(std::move(executor)),
+      : m_timer(executor),
         m_topic(std::move(topic)),
         m_log(std::move(log)),
         m_events(std::move(events)) {}
--- a/src/transport/relayed_log.h
+++ b/src/transport/relayed_log.h
@@ -48,12 +48,12 @@
     Milliseconds wait{0};
   };
 
-  RelayedLog(boost::asio::any_io_executor executor,
+  RelayedLog(const boost::asio::any_io_executor& executor,
              std::shared_ptr<Log> log,
              std::shared_ptr<RelayChoice> choice,
              Pace pace)
       : m_executor(executor),
-        m_timer(std::move(executor)),
+        m_timer(executor),
         m_log(std::move(log)),
         m_choice(std::move(choice)),
         m_pace(pace) {}
--- a/tests/unit/key_lead_test.cc
+++ b/tests/unit/key_lead_test.cc
@@ -208,6 +208,38 @@
   }
 }
 
+// Guards against two owners: a silent target that answers again while the table
+// that takes its keys away is being appended gets a grant by the older table.
+Test(key_lead, grant_during_an_append_holds_back_the_new_owner) {
+  LeadFixture fixture;
+  fixture.Settle();
+  for (int i = 0; i < 60; ++i) {
+    fixture.Advance(Milliseconds(100));
+    for (const KeyOrder& order : fixture.TakeOrders()) {
+      fixture.Finish(order, order.target == "a" ? KeyOrderOutcome::kNotSent
+                                                : KeyOrderOutcome::kDone);
+    }
+  }
+  auto next = fixture.lead().NextTable(fixture.now(), false);
+  cr_assert(next.has_value());
+  KeyOrder probe;
+  probe.kind = KeyOrder::Kind::kProbe;
+  probe.target = "a";
+  fixture.Finish(probe, KeyOrderOutcome::kDone);
+  bool granted = false;
+  for (const KeyOrder& order : fixture.TakeOrders()) {
+    granted = granted || order.target == "a";
+    fixture.Finish(order, KeyOrderOutcome::kDone);
+  }
+  cr_assert(granted);
+  fixture.lead().OnTable(fixture.now(), *std::move(next));
+  for (const KeyOrder& order : fixture.TakeOrders()) {
+    cr_assert(order.kind != KeyOrder::Kind::kGrant || order.target == "a" ||
+                  order.first >= fixture.Range(fixture.ranges() - 1).first,
+              "granted while a may hold the keys");
+  }
+}
+
 // Guards against keys that stay without an owner when the target that they are
 // moving to is lost.
 Test(key_lead, move_to_a_lost_target_goes_elsewhere) {
