--- a/scripts/check_layers.sh
+++ b/scripts/check_layers.sh
@@ -15,5 +15,5 @@
 check state 'coordination|protocol|transport|apps'
 check coordination 'protocol|transport|apps'
 check protocol 'transport|apps'
-check transport 'apps'
+check transport 'apps|platform'
 exit $status
--- a/tests/soak/soak_checks.cc
+++ b/tests/soak/soak_checks.cc
@@ -4,6 +4,7 @@
 #include <boost/json.hpp>
 #include <cstdint>
 #include <set>
+#include <utility>
 
 namespace snipehall::test {
 
@@ -100,8 +101,10 @@
           key < 0 ? std::string()
                   : holdings.OtherHolder(target, key, Number(event, "ms"));
       if (!other.empty()) {
-        broken.push_back("two owners: " + target + " runs key " +
-                         std::to_string(key) + " that " + other + " holds");
+        std::string line = "two owners: ";
+        line.append(target).append(" runs key ").append(std::to_string(key));
+        line.append(" that ").append(other).append(" holds");
+        broken.push_back(std::move(line));
       }
     }
   }
