--- a/src/coordination/key_lead.h
+++ b/src/coordination/key_lead.h
@@ -78,8 +78,8 @@
   // How long a confirmation lasts. Longer than two of the lead's reads of the
   // log, so that one slow read does not stop it.
   static constexpr Milliseconds kLeadLease{2500};
-  // Hold of a grant: about what a new lead takes to be in office. Keys of a
-  // lost target wait for its end.
+  // Hold of a grant: more than the time in which a new lead takes over. Keys of
+  // a lost target wait for its end.
   static constexpr Milliseconds kHold{4000};
   // Hold while the log does not answer, since no other lead can follow until it
   // is back: with kLeadLease it covers an outage of nine seconds. A longer one
--- a/src/coordination/lead_watch.h
+++ b/src/coordination/lead_watch.h
@@ -34,8 +34,8 @@
 
   // Whether the instance is to take over now.
   bool IsLost() const {
-    const int answers_owed = m_lead.empty() ? 0 : kUnanswered;
-    return m_unanswered > answers_owed + m_patience;
+    const int unanswered = m_lead.empty() ? 0 : kUnanswered;
+    return m_unanswered > unanswered + m_patience;
   }
 
  private:
