Drop a flag that stood twice; correct a comment of RelayedLog

Cause: m_has_keys and m_has_keys_end were always set by the same page; the comment of RelayedLog::Read spoke of a parameter that is gone. Change: one flag; the comment says how long a read may take. No behaviour changes.

--- a/src/transport/gateway/gateway_control.h
+++ b/src/transport/gateway/gateway_control.h
@@ -114,7 +114,7 @@
 
   // Configuration, targets and owners are known.
   bool IsReady() const {
-    if (!m_state.policy() || !m_has_targets || !m_has_keys) {
+    if (!m_state.policy() || !m_has_targets || !m_has_keys_end) {
       return false;
     }
     for (const auto& [name, policy] : m_state.policy()->services()) {
@@ -388,7 +388,6 @@
 
   void OnKeyPage(const RecordPage& page, bool /*whole*/) {
     const MonotonicTime now = Now();
-    m_has_keys = true;
     if (page.end > m_keys_end || !m_has_keys_end) {
       for (const KeyedRecord& record : page.records) {
         auto table = DecodeKeyTable(record.value);
@@ -573,7 +572,6 @@
   std::uint64_t m_keys_end = 0;
   bool m_has_keys_end = false;
   bool m_has_targets = false;
-  bool m_has_keys = false;
   bool m_appending = false;
   bool m_wake_lead = false;
   bool m_draining = false;
--- a/src/transport/relayed_log.h
+++ b/src/transport/relayed_log.h
@@ -66,7 +66,8 @@
     co_return page;
   }
 
-  // Waits as its pace says, not as asked.
+  // Waits as its pace says. Ends `limit` after that at the latest, or, from
+  // another instance, after kRelayWait and kRelayLimit.
   boost::asio::awaitable<Result<RecordPage>> Read(std::string topic,
                                                   std::uint64_t from,
                                                   Milliseconds limit) {
