Balance past keys that cannot be divided, with more moves on large sites

The balancer ended its plan at the first target whose load it could not divide, so one key with more load than a target can serve stopped all other moves; and four moves a plan, each of half of the gap, are few for 161 targets.

Change: a target without a part to give is passed over. A move fills the emptiest target up to the mean, so a cluster of busy keys goes to many targets in one plan; moves in a plan grow with the number of targets.

--- a/src/coordination/key_balancer.cc
+++ b/src/coordination/key_balancer.cc
@@ -1,7 +1,9 @@
 #include "coordination/key_balancer.h"
 
 #include <algorithm>
+#include <map>
 #include <optional>
+#include <string_view>
 
 namespace snipehall {
 
@@ -67,6 +69,69 @@
   Consider(best, {index, range.first, range.last, total}, wanted);
 }
 
+std::optional<RangePart> FindPart(MonotonicTime now,
+                                  std::span<const KeyAssignment> ranges,
+                                  std::string_view owner,
+                                  const KeyLoad& load,
+                                  double wanted) {
+  std::optional<RangePart> best;
+  for (std::size_t i = 0; i < ranges.size(); ++i) {
+    if (ranges[i].owner == owner && !ranges[i].moving()) {
+      ConsiderRange(now, ranges[i], i, load, wanted, best);
+    }
+  }
+  return best;
+}
+
+std::vector<Use> UsesOf(MonotonicTime now,
+                        std::span<const KeyAssignment> ranges,
+                        std::span<const KeyCandidate> candidates,
+                        const KeyLoad& load) {
+  std::map<std::string_view, double> rates;
+  for (const KeyAssignment& range : ranges) {
+    rates[range.owner] += load.Rate(now, range.first, range.last);
+  }
+  std::vector<Use> uses;
+  for (const KeyCandidate& candidate : candidates) {
+    const double seconds = load.Seconds(candidate.id) / candidate.slots;
+    uses.push_back({&candidate, seconds, rates[candidate.id]});
+  }
+  return uses;
+}
+
+double MeanUse(std::span<const Use> uses) {
+  double sum = 0;
+  for (const Use& use : uses) {
+    sum += use.value();
+  }
+  return uses.empty() ? 0 : sum / static_cast<double>(uses.size());
+}
+
+bool IsLess(const Use& left, const Use& right) {
+  return left.value() < right.value();
+}
+
+bool IsWorthMove(const Use& fullest, const Use& emptiest) {
+  return fullest.value() >= KeyBalancer::kBusy &&
+         fullest.value() - emptiest.value() >= KeyBalancer::kGap;
+}
+
+// The rate that closes half of the gap, or fills the emptiest target up to
+// `level` where that is less: a cluster of busy keys goes to many targets at
+// once instead of being halved time and again.
+double WantedRate(const Use& fullest, const Use& emptiest, double level) {
+  const double gap = fullest.value() - emptiest.value();
+  const double half =
+      gap / (fullest.seconds_per_slot + emptiest.seconds_per_slot);
+  const double room = (level - emptiest.value()) / emptiest.seconds_per_slot;
+  return std::min(half, room);
+}
+
+std::size_t MostMoves(std::size_t targets) {
+  return std::max<std::size_t>(KeyBalancer::kLeastMoves,
+                               targets / KeyBalancer::kTargetsPerMove);
+}
+
 void MovePart(std::vector<KeyAssignment>& ranges,
               const RangePart& part,
               const KeyCandidate& owner,
@@ -102,43 +167,28 @@
     const KeyLoad& load,
     FenceToken& fence) {
   std::vector<KeyAssignment> ranges(current.begin(), current.end());
-  std::vector<Use> uses;
-  for (const KeyCandidate& candidate : candidates) {
-    Use use;
-    use.target = &candidate;
-    use.seconds_per_slot = load.Seconds(candidate.id) / candidate.slots;
-    for (const KeyAssignment& range : ranges) {
-      if (range.owner == candidate.id) {
-        use.rate += load.Rate(now, range.first, range.last);
-      }
-    }
-    uses.push_back(use);
-  }
-  const auto less = [](const Use& left, const Use& right) {
-    return left.value() < right.value();
-  };
-  for (int move = 0; move < kMaxMoves && uses.size() > 1; ++move) {
-    const auto fullest = std::max_element(uses.begin(), uses.end(), less);
-    const auto emptiest = std::min_element(uses.begin(), uses.end(), less);
-    const double gap = fullest->value() - emptiest->value();
-    if (fullest->value() < kBusy || gap < kGap ||
-        ranges.size() >= kRangesPerTarget * candidates.size()) {
+  std::vector<Use> uses = UsesOf(now, ranges, candidates, load);
+  const double level = MeanUse(uses) + kGap / 2;
+  const std::size_t most_moves = MostMoves(candidates.size());
+  const std::size_t most_ranges = kRangesPerTarget * candidates.size();
+  for (std::size_t move = 0;
+       move < most_moves && ranges.size() < most_ranges;) {
+    const auto [emptiest, fullest] =
+        std::minmax_element(uses.begin(), uses.end(), IsLess);
+    if (uses.size() < 2 || !IsWorthMove(*fullest, *emptiest)) {
       break;
     }
-    const double wanted =
-        gap / (fullest->seconds_per_slot + emptiest->seconds_per_slot);
-    std::optional<RangePart> best;
-    for (std::size_t i = 0; i < ranges.size(); ++i) {
-      if (ranges[i].owner == fullest->target->id && !ranges[i].moving()) {
-        ConsiderRange(now, ranges[i], i, load, wanted, best);
-      }
-    }
-    if (!best) {
-      break;
+    const double wanted = WantedRate(*fullest, *emptiest, level);
+    const auto part = FindPart(now, ranges, fullest->target->id, load, wanted);
+    if (!part) {
+      // What is left there cannot be divided; others may still give.
+      uses.erase(fullest);
+      continue;
     }
-    MovePart(ranges, *best, *emptiest->target, fence);
-    fullest->rate -= best->rate;
-    emptiest->rate += best->rate;
+    MovePart(ranges, *part, *emptiest->target, fence);
+    fullest->rate -= part->rate;
+    emptiest->rate += part->rate;
+    ++move;
   }
   return ranges;
 }
--- a/src/coordination/key_balancer.h
+++ b/src/coordination/key_balancer.h
@@ -9,13 +9,15 @@
 
 namespace snipehall {
 
-// Moves busy keys from the fullest target to the emptiest one, for one service:
-// a part of a range whose load closes half of the gap, so that few keys move.
+// Moves busy keys from the fullest targets to the emptiest ones, for one
+// service: parts of ranges whose load closes half of the gap or fills the
+// emptiest target up to the mean, so that few keys move.
 class KeyBalancer {
  public:
-  // Moves in one plan. Each waits for work in progress to end, so they are
-  // spread over several plans.
-  static constexpr int kMaxMoves = 4;
+  // Moves in one plan: at least so many, and one for so many targets. Each
+  // waits for work in progress to end, so only some of the targets take part.
+  static constexpr std::size_t kLeastMoves = 4;
+  static constexpr std::size_t kTargetsPerMove = 2;
   // A target below this use of its slots gives nothing away.
   static constexpr double kBusy = 0.45;
   // Least gap between the uses of two targets that is worth a move.
--- /dev/null
+++ b/tests/unit/key_balancer_test.cc
@@ -0,0 +1,136 @@
+#include "coordination/key_balancer.h"
+
+#include <algorithm>
+#include <string>
+
+#include <criterion/criterion.h>
+
+namespace snipehall {
+namespace {
+
+const MonotonicTime kNow = MonotonicTime(Milliseconds(100000));
+constexpr int kSlots = 3;
+
+std::vector<KeyCandidate> MakeTargets(int count) {
+  std::vector<KeyCandidate> targets;
+  for (int i = 0; i < count; ++i) {
+    targets.push_back({"t" + std::to_string(i), 1, kSlots});
+  }
+  return targets;
+}
+
+// Reports `requests` for each key from `first` to `last`.
+void Report(KeyLoad& load, KeyNumber first, KeyNumber last, int requests) {
+  KeyLoadReport report;
+  report.requests_per_key = static_cast<std::uint32_t>(requests);
+  for (std::uint32_t key = first; key <= last; ++key) {
+    report.keys.push_back(static_cast<KeyNumber>(key));
+  }
+  load.OnReport(kNow, report);
+}
+
+// Work for each slot of the target.
+double Use(const KeyLoad& load,
+           const std::vector<KeyAssignment>& ranges,
+           const TargetId& target) {
+  double rate = 0;
+  for (const KeyAssignment& range : ranges) {
+    if (range.owner == target) {
+      rate += load.Rate(kNow, range.first, range.last);
+    }
+  }
+  return rate * load.Seconds(target) / kSlots;
+}
+
+double GreatestUse(const KeyLoad& load,
+                   const std::vector<KeyAssignment>& ranges,
+                   const std::vector<KeyCandidate>& targets) {
+  double greatest = 0;
+  for (const KeyCandidate& target : targets) {
+    greatest = std::max(greatest, Use(load, ranges, target.id));
+  }
+  return greatest;
+}
+
+std::vector<KeyAssignment> Plan(const std::vector<KeyCandidate>& targets,
+                                const std::vector<KeyAssignment>& ranges,
+                                const KeyLoad& load,
+                                FenceToken& fence) {
+  return KeyBalancer::Plan(kNow, ranges, targets, load, fence);
+}
+
+// Guards against a key that alone is more than a target can serve stopping the
+// moves of all others.
+Test(key_balancer, single_busy_key_does_not_stop_other_moves) {
+  const auto targets = MakeTargets(10);
+  FenceToken fence = 0;
+  const auto ranges = PlanFirstKeys(targets, fence);
+  KeyLoad load;
+  Report(load, ranges[0].first, ranges[0].first, 2000);
+  Report(load, ranges[5].first, ranges[5].first + 9, 20);
+  auto planned = ranges;
+  for (int i = 0; i < 3; ++i) {
+    planned = Plan(targets, planned, load, fence);
+    for (KeyAssignment& range : planned) {
+      range.previous.clear();
+    }
+  }
+  cr_assert_lt(Use(load, planned, targets[5].id), KeyBalancer::kBusy);
+}
+
+// Guards against a crest that ends before its keys are spread: one plan must
+// suffice for a cluster of busy keys on one of many targets.
+Test(key_balancer, one_plan_spreads_a_cluster_of_busy_keys) {
+  const auto targets = MakeTargets(160);
+  FenceToken fence = 0;
+  const auto ranges = PlanFirstKeys(targets, fence);
+  KeyLoad load;
+  for (std::uint32_t key = 0; key <= kLastKey; key += 20) {
+    Report(load, static_cast<KeyNumber>(key), static_cast<KeyNumber>(key), 1);
+  }
+  const double everyday = GreatestUse(load, ranges, targets);
+  Report(load, ranges[40].first, ranges[40].first + 59, 10);
+  const auto planned = Plan(targets, ranges, load, fence);
+  double mean = 0;
+  for (const KeyCandidate& target : targets) {
+    mean += Use(load, planned, target.id) / 160;
+  }
+  cr_assert_gt(GreatestUse(load, ranges, targets), 5 * everyday);
+  cr_assert_lt(GreatestUse(load, planned, targets),
+               mean + 2 * KeyBalancer::kGap);
+}
+
+// Guards against moves that only shift small imbalances: each costs the targets
+// warm state and the lead orders.
+Test(key_balancer, even_load_moves_nothing) {
+  const auto targets = MakeTargets(20);
+  FenceToken fence = 0;
+  const auto ranges = PlanFirstKeys(targets, fence);
+  KeyLoad load;
+  Report(load, 0, kLastKey, 1);
+  cr_assert_eq(Plan(targets, ranges, load, fence) == ranges, true);
+}
+
+// Guards against lost or doubled keys when ranges are cut.
+Test(key_balancer, ranges_still_cover_all_keys_once) {
+  const auto targets = MakeTargets(50);
+  FenceToken fence = 0;
+  auto planned = PlanFirstKeys(targets, fence);
+  KeyLoad load;
+  Report(load, 100, 400, 30);
+  Report(load, 30000, 30000, 3000);
+  for (int i = 0; i < 6; ++i) {
+    planned = Plan(targets, planned, load, fence);
+    std::uint32_t next = 0;
+    for (KeyAssignment& range : planned) {
+      cr_assert_eq(range.first, next);
+      cr_assert_geq(range.last, range.first);
+      next = range.last + std::uint32_t{1};
+      range.previous.clear();
+    }
+    cr_assert_eq(next, std::uint32_t{kLastKey} + 1);
+  }
+}
+
+}  // namespace
+}  // namespace snipehall
