Repeat reads at owners with free slots; wait for the new owner after a 421

They were not repeated, since a repeat at a full owner adds to its load. After a 421 the repeat went to the same former owner at once and used up the attempts.

Change: a refusal by an owner with free slots is repeated within the budget; after a 421 the request waits for newer owners first. The log line of a failed request has the target's load.

The process test of the repeat fails without the change.

--- a/src/coordination/target_chooser.h
+++ b/src/coordination/target_chooser.h
@@ -16,6 +16,8 @@
 struct ReportedLoad {
   int outstanding = 0;
   int slots = 0;
+
+  bool IsFull() const { return outstanding >= slots; }
 };
 
 struct TargetChooserOptions {
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -132,6 +132,11 @@
          {"status", std::to_string(request.status)},
          {"attempts", std::to_string(request.attempts)},
          {"elapsed_ms", std::to_string(request.elapsed_ms)},
+         {"target_load",
+          request.target_load
+              ? std::to_string(request.target_load->outstanding) + "/" +
+                    std::to_string(request.target_load->slots)
+              : std::string()},
          {"key", request.key ? std::to_string(*request.key) : std::string()},
          {"configuration", std::to_string(request.policy_version)}});
   }
--- a/src/transport/gateway/gateway_context.h
+++ b/src/transport/gateway/gateway_context.h
@@ -34,6 +34,8 @@
   int attempts = 0;
   int elapsed_ms = 0;
   std::uint64_t policy_version = 0;
+  // What the target said of its load in its last answer.
+  std::optional<ReportedLoad> target_load;
   // The key of a request for a keyed service.
   std::optional<KeyNumber> key;
 };
--- a/src/transport/gateway/gateway_router.cc
+++ b/src/transport/gateway/gateway_router.cc
@@ -55,13 +55,14 @@
       next = co_await Attempt();
     } else {
       const std::string_view cause = m_keyed ? "no owner" : "no target";
-      next = co_await WaitForChange(cause);
+      next = co_await WaitForChange(cause, m_context.state.version());
     }
   }
   co_return std::move(m_outcome);
 }
 
 bool GatewayRouter::Choose(MonotonicTime now) {
+  m_chosen_by = m_context.state.version();
   if (m_keyed) {
     return ChooseOwner(now);
   }
@@ -123,7 +124,8 @@
     }
     Next next = Next::kAgain;
     if (m_keyed) {
-      next = co_await WaitForChange("owner unreachable");
+      next = co_await WaitForChange("owner unreachable",
+                                    m_context.state.version());
     }
     co_return next;
   }
@@ -132,10 +134,12 @@
   TargetExchange exchange(m_request, *stream, m_context.names);
   const TargetExchangeEnd end =
       co_await exchange.Run(m_target.id, m_request.deadline);
+  m_target_load = exchange.info().load;
   stream.reset();
   if (exchange.reusable()) {
     lease.Reuse();
   }
+  Next next = Next::kAgain;
   switch (end) {
     case TargetExchangeEnd::kAnswered:
       chooser.OnAnswered(Now(), m_target.id, exchange.info().load);
@@ -143,7 +147,8 @@
       co_return Finish(exchange);
     case TargetExchangeEnd::kRefused:
       chooser.OnFailed(Now(), m_target.id);
-      co_return AfterRefusal(exchange);
+      next = co_await AfterRefusal(exchange);
+      co_return next;
     case TargetExchangeEnd::kNotSent:
       // A kept connection that its target has closed meanwhile.
       chooser.OnAbandoned(m_target.id);
@@ -200,17 +205,23 @@
          m_service->retries.TryTake(now);
 }
 
-GatewayRouter::Next GatewayRouter::AfterRefusal(
+Task<GatewayRouter::Next> GatewayRouter::AfterRefusal(
     const TargetExchange& exchange) {
   m_tried.push_back(m_target.id);
   m_context.metrics.Count("target_refused");
   const bool not_owner = exchange.status() == 421;
   // Another attempt at an owner that is full would only add to its load.
-  if ((m_keyed && !not_owner) || !MayRepeat(Now())) {
-    return Refuse(not_owner ? "target is not the owner" : "target is full",
-                  kBusyRetryAfter);
+  const bool full = !m_target_load || m_target_load->IsFull();
+  if ((m_keyed && !not_owner && full) || !MayRepeat(Now())) {
+    co_return Refuse(not_owner ? "target is not the owner" : "target is full",
+                     kBusyRetryAfter);
   }
-  return Next::kAgain;
+  Next next = Next::kAgain;
+  if (m_keyed && not_owner) {
+    // The keys have moved; this instance will know soon where to.
+    next = co_await WaitForChange("target is not the owner", m_chosen_by);
+  }
+  co_return next;
 }
 
 GatewayRouter::Next GatewayRouter::AfterLost() {
@@ -236,7 +247,8 @@
   return Next::kFinish;
 }
 
-Task<GatewayRouter::Next> GatewayRouter::WaitForChange(std::string_view cause) {
+Task<GatewayRouter::Next> GatewayRouter::WaitForChange(std::string_view cause,
+                                                       std::uint64_t seen) {
   const MonotonicTime now = Now();
   if (!m_wait_until) {
     m_wait_until = now + m_request.route->objective / kOwnerWaitDivisor;
@@ -245,7 +257,6 @@
     co_return Refuse(cause, kOwnerRetryAfter);
   }
   const RoutingState::Watch watch(m_context.state, m_request.event);
-  const std::uint64_t seen = m_context.state.version();
   m_request.LimitStep(std::min(*m_wait_until, now + kOwnerRetry));
   while (!m_request.broken_off() && m_context.state.version() == seen) {
     co_await m_request.event.Wait();
--- a/src/transport/gateway/gateway_router.h
+++ b/src/transport/gateway/gateway_router.h
@@ -34,6 +34,10 @@
 
   // The target of the last attempt.
   const TargetId& target() const { return m_target.id; }
+  // What that target last said of its load.
+  const std::optional<ReportedLoad>& target_load() const {
+    return m_target_load;
+  }
   int attempts() const { return m_attempts; }
 
  private:
@@ -46,15 +50,15 @@
   Task<bool> Connect(TargetPool& pool, ByteStream& stream);
   // Records how long a keyed service's target worked.
   void NoteTime(const TargetExchange& exchange, MonotonicTime sent);
-  Next AfterRefusal(const TargetExchange& exchange);
+  Task<Next> AfterRefusal(const TargetExchange& exchange);
   Next AfterLost();
   Next Finish(TargetExchange& exchange);
   // Connections to the target that are kept.
   int ConnectionLimit() const;
   // Whether the request may be sent once more now.
   bool MayRepeat(MonotonicTime now);
-  // Waits for a change of the routing state.
-  Task<Next> WaitForChange(std::string_view cause);
+  // Waits until the routing state is another than that of version `seen`.
+  Task<Next> WaitForChange(std::string_view cause, std::uint64_t seen);
   Next Refuse(std::string_view cause, Milliseconds retry_after);
   Next Fail(int status, std::string_view cause);
   Next AfterInterrupt();
@@ -64,6 +68,9 @@
   GatewayService* m_service = nullptr;
   bool m_keyed = false;
   RouteTarget m_target;
+  std::optional<ReportedLoad> m_target_load;
+  // Version of the routing state by which the target was chosen.
+  std::uint64_t m_chosen_by = 0;
   // Targets that refused or lost the request, or could not be reached.
   std::vector<TargetId> m_tried;
   // Times the request was sent.
--- a/src/transport/gateway/gateway_session.cc
+++ b/src/transport/gateway/gateway_session.cc
@@ -256,7 +256,7 @@
         {m_request.info.request_id, m_request.route->name, router.target(),
          outcome.cause, outcome.status, router.attempts(),
          static_cast<int>(seconds * 1000), m_request.policy->version(),
-         m_request.info.key});
+         router.target_load(), m_request.info.key});
   }
 }
 
--- a/tests/process/gateway_test.cc
+++ b/tests/process/gateway_test.cc
@@ -75,6 +75,17 @@
   Require(reply && reply->status == 404, "expected 404");
 }
 
+// Guards against a read that fails because its owner, which is not full,
+// refuses it once: no other target may serve it.
+Test(gateway, repeats_reads_at_an_owner_with_free_slots) {
+  GatewayCluster cluster(
+      {.gateways = 1, .keyed_targets = 1, .plain_targets = 0, .refused = 1});
+  cluster.WaitUntilReady(Clock::now() + seconds(15));
+  HttpClient client(cluster.address(0));
+  const auto reply = client.Send(Read(1, 1), Clock::now() + seconds(4));
+  Require(reply && reply->status == 200, "the read was not repeated");
+}
+
 // Guards against keys that stay without an owner when the lead is lost.
 Test(gateway, keys_are_served_again_soon_after_the_lead_is_killed) {
   GatewayCluster cluster({});
--- a/tests/process/support/gateway_cluster.h
+++ b/tests/process/support/gateway_cluster.h
@@ -22,6 +22,8 @@
     int gateways = 3;
     int keyed_targets = 4;
     int plain_targets = 2;
+    // First requests that each target refuses though it has free slots.
+    int refused = 0;
   };
 
   explicit GatewayCluster(const Options& options);
@@ -88,6 +90,7 @@
   TemporaryDirectory m_directory;
   std::unique_ptr<Process> m_store;
   std::string m_store_address;
+  int m_refused = 0;
   std::vector<Target> m_targets;
   std::vector<Gateway> m_gateways;
 };
