Replace a lead that cannot reach the store

The lead's machine was cut off from the store for 12 s, but still answered the reports of the others, so none took over: no key moved for 12 s, while other targets' keys were read from stale tables.

Change: a lead whose confirmation has lapsed says that it does not serve. Another instance tries to become the lead only while it reads the store, and not until 1.5 s after an outage, in which the lead is confirmed again. An append that succeeds confirms the lead.

--- a/src/transport/gateway/gateway_control.h
+++ b/src/transport/gateway/gateway_control.h
@@ -178,7 +178,8 @@
   void OnMessage(const LeadLink::Endpoint& sender, const LeadMessage& message) {
     const MonotonicTime now = Now();
     if (const auto* report = std::get_if<LeadReport>(&message.content)) {
-      if (!m_lead.IsNamedLead() || m_draining) {
+      // A lead that cannot read the log is replaced by an instance that can.
+      if (!m_lead.IsLead(now) || m_draining) {
         m_link.Send(sender, {m_instance, LeadNotServing()});
         return;
       }
@@ -237,6 +238,12 @@
   // Time between two looks at due orders.
   static constexpr Milliseconds kLeadTick{100};
   static constexpr Milliseconds kCallLimit{1000};
+  // Age of the newest read of the key table up to which the log counts as
+  // reachable: longer than a read waits, and one that is passed on.
+  static constexpr Milliseconds kReachableAge{2000};
+  // Time in which a lead reads the log after an outage, and its answer to the
+  // next report arrives.
+  static constexpr Milliseconds kConfirmTime{1500};
 
   static MonotonicTime Now() { return std::chrono::steady_clock::now(); }
 
@@ -388,6 +395,10 @@
 
   void OnKeyPage(const RecordPage& page, bool /*whole*/) {
     const MonotonicTime now = Now();
+    if (m_has_keys_end && page.answered > m_keys_read_at + kReachableAge) {
+      m_log_back_at = now;
+    }
+    m_keys_read_at = page.answered;
     if (page.end > m_keys_end || !m_has_keys_end) {
       for (const KeyedRecord& record : page.records) {
         auto table = DecodeKeyTable(record.value);
@@ -415,6 +426,14 @@
                        [](const auto& item) { return item.second.keyed; });
   }
 
+  // Without the log no instance can become the lead. After an outage the lead
+  // is given time to be confirmed again.
+  bool CanReachLog() const {
+    const MonotonicTime now = Now();
+    return now - m_key_feed.cache().read_at() < kReachableAge &&
+           now >= m_log_back_at + kConfirmTime;
+  }
+
   void ApplyKeys(MonotonicTime now, KeyTable table) {
     if (table.lead != m_state.keys().lead) {
       m_log.Write("lead", {{"lead", table.lead},
@@ -452,8 +471,8 @@
         break;
       }
       if (m_has_keys_end && !m_appending) {
-        const bool take_over =
-            HasKeyedService() && m_watch.IsLost() && !m_draining;
+        const bool take_over = HasKeyedService() && m_watch.IsLost() &&
+                               !m_draining && CanReachLog();
         if (auto next = m_lead.NextTable(Now(), take_over)) {
           m_appending = true;
           Spawn(m_executor, Append(*std::move(next)));
@@ -468,12 +487,14 @@
   boost::asio::awaitable<void> Append(KeyTable table) {
     const KeyedRecord record{kKeyRecord, EncodeKeyTable(table)};
     const std::uint64_t at = m_keys_end;
+    const MonotonicTime began = Now();
     const Result<std::uint64_t> end = co_await m_append_log->Append(
         m_platform.key_topic(), record, at, Now() + kCallLimit);
     m_metrics.Count(end ? "keys_appended" : "keys_append_failed");
     if (end && m_keys_end == at) {
       m_keys_end = end.value();
       ApplyKeys(Now(), table);
+      m_lead.OnConfirmed(began);
     } else if (end.has_error()) {
       // The key feed shows what was appended, by whomever.
       m_log.Write("keys_append_failed", {{"error", end.error().message}});
@@ -571,6 +592,9 @@
   // End of the key topic that the known table reflects.
   std::uint64_t m_keys_end = 0;
   bool m_has_keys_end = false;
+  // When the key topic was last read, and when that ended an outage.
+  MonotonicTime m_keys_read_at;
+  MonotonicTime m_log_back_at;
   bool m_has_targets = false;
   bool m_appending = false;
   bool m_wake_lead = false;
--- a/tests/process/gateway_test.cc
+++ b/tests/process/gateway_test.cc
@@ -108,6 +108,42 @@
   }
 }
 
+// Guards against keys that stay as they are for as long as a lead that still
+// answers the other instances cannot reach the store.
+Test(gateway, lead_without_the_store_is_replaced) {
+  GatewayCluster cluster({});
+  cluster.WaitUntilReady(Clock::now() + seconds(15));
+  const std::string lead = cluster.Lead(0);
+  std::size_t index = 0;
+  while (cluster.name(index) != lead) {
+    ++index;
+  }
+  const std::size_t other = (index + 1) % cluster.gateways();
+  cluster.StoreLink(index).Stop();
+  Require(WaitUntil(Clock::now() + seconds(8),
+                    [&] {
+                      const std::string name = cluster.Lead(other);
+                      return !name.empty() && name != lead;
+                    }),
+          "no other instance has become the lead");
+  cluster.StoreLink(index).Resume();
+}
+
+// Guards against a new lead after each outage of the store, which no instance
+// could have used to do better.
+Test(gateway, lead_stays_through_an_outage_of_the_store) {
+  GatewayCluster cluster({});
+  cluster.WaitUntilReady(Clock::now() + seconds(15));
+  const std::string lead = cluster.Lead(0);
+  cluster.ControlStore("/test/outage", R"({"on":true,"mode":"hang"})");
+  std::this_thread::sleep_for(seconds(5));
+  cluster.ControlStore("/test/outage", R"({"on":false})");
+  std::this_thread::sleep_for(seconds(4));
+  for (std::size_t i = 0; i < cluster.gateways(); ++i) {
+    Require(cluster.Lead(i) == lead, "the lead has changed");
+  }
+}
+
 // Guards against a stop that cuts off requests, and against SIGHUP.
 Test(gateway, stops_gracefully_and_reloads) {
   GatewayCluster cluster({.gateways = 2});
--- a/tests/process/support/gateway_cluster.cc
+++ b/tests/process/support/gateway_cluster.cc
@@ -7,6 +7,7 @@
 #include <set>
 
 #include "platform/store_records.h"
+#include "protocol/key_table_codec.h"
 
 namespace snipehall::test {
 
@@ -161,6 +162,15 @@
   return reply && reply->status == 200;
 }
 
+std::string GatewayCluster::Lead(std::size_t gateway) const {
+  HttpClient client(m_gateways[gateway].status_address);
+  const auto reply = client.Send({.path = "/keys"},
+                                 Clock::now() + std::chrono::milliseconds(500));
+  const auto table =
+      reply ? DecodeKeyTable(reply->body) : Result<KeyTable>(KeyTable());
+  return table ? table.value().lead : std::string();
+}
+
 void GatewayCluster::Signal(std::size_t gateway, int signal) {
   m_gateways[gateway].process->Signal(signal);
 }
--- a/tests/process/support/gateway_cluster.h
+++ b/tests/process/support/gateway_cluster.h
@@ -37,6 +37,11 @@
     return m_gateways[gateway].address;
   }
   bool IsReady(std::size_t gateway) const;
+  // The name of the lead by the key table that the gateway knows.
+  std::string Lead(std::size_t gateway) const;
+  const std::string& name(std::size_t gateway) const {
+    return m_gateways[gateway].name;
+  }
 
   // Signals the gateway's process.
   void Signal(std::size_t gateway, int signal);
