Join ranges of keys again

The table had six ranges for each target, at which the balancer stops, since ranges were only ever divided.

Change: neighbours with the same owner, both granted by this lead, become one range with a new token. From five ranges for each target on, small ranges go to the owner of a neighbour, beside other moves or when the table is full; it may have ten for each target.

--- a/src/coordination/key_balancer.cc
+++ b/src/coordination/key_balancer.cc
@@ -127,6 +127,55 @@
   return std::min(half, room);
 }
 
+Use* FindUse(std::span<Use> uses, std::string_view target) {
+  const auto found = std::find_if(
+      uses.begin(), uses.end(),
+      [target](const Use& use) { return use.target->id == target; });
+  return found == uses.end() ? nullptr : &*found;
+}
+
+// Whether the range or a neighbour of it is moving.
+bool HasMove(std::span<const KeyAssignment> ranges, std::size_t index) {
+  return ranges[index].moving() || (index > 0 && ranges[index - 1].moving()) ||
+         (index + 1 < ranges.size() && ranges[index + 1].moving());
+}
+
+// A settled range that its neighbour's owner has room for, with the least load.
+struct TidyMove {
+  std::size_t range = 0;
+  double rate = 0;
+  Use* from = nullptr;
+  Use* to = nullptr;
+};
+
+std::optional<TidyMove> FindTidyMove(MonotonicTime now,
+                                     std::span<const KeyAssignment> ranges,
+                                     std::span<Use> uses,
+                                     const KeyLoad& load,
+                                     double level) {
+  std::optional<TidyMove> best;
+  const auto consider = [&](std::size_t index, std::size_t neighbour) {
+    const KeyAssignment& range = ranges[index];
+    const KeyAssignment& next = ranges[neighbour];
+    if (HasMove(ranges, index) || range.owner == next.owner ||
+        range.size() > KeyBalancer::kTidyKeys) {
+      return;
+    }
+    Use* from = FindUse(uses, range.owner);
+    Use* to = FindUse(uses, next.owner);
+    const double rate = load.Rate(now, range.first, range.last);
+    if (from != nullptr && to != nullptr && (!best || rate < best->rate) &&
+        to->value() + rate * to->seconds_per_slot <= level) {
+      best = TidyMove{index, rate, from, to};
+    }
+  };
+  for (std::size_t i = 0; i + 1 < ranges.size(); ++i) {
+    consider(i, i + 1);
+    consider(i + 1, i);
+  }
+  return best;
+}
+
 std::size_t MostMoves(std::size_t targets) {
   return std::max<std::size_t>(KeyBalancer::kLeastMoves,
                                targets / KeyBalancer::kTargetsPerMove);
@@ -158,6 +207,27 @@
   }
 }
 
+// Moves small ranges to the owners of their neighbours.
+void Tidy(MonotonicTime now,
+          const KeyLoad& load,
+          double level,
+          std::size_t most_moves,
+          std::vector<KeyAssignment>& ranges,
+          std::span<Use> uses,
+          FenceToken& fence) {
+  for (std::size_t move = 0; move < most_moves; ++move) {
+    const auto best = FindTidyMove(now, ranges, uses, load, level);
+    if (!best) {
+      return;
+    }
+    const KeyAssignment& range = ranges[best->range];
+    MovePart(ranges, {best->range, range.first, range.last, best->rate},
+             *best->to->target, fence);
+    best->from->rate -= best->rate;
+    best->to->rate += best->rate;
+  }
+}
+
 }  // namespace
 
 std::vector<KeyAssignment> KeyBalancer::Plan(
@@ -171,8 +241,8 @@
   const double level = MeanUse(uses) + kGap / 2;
   const std::size_t most_moves = MostMoves(candidates.size());
   const std::size_t most_ranges = kRangesPerTarget * candidates.size();
-  for (std::size_t move = 0;
-       move < most_moves && ranges.size() < most_ranges;) {
+  std::size_t moves = 0;
+  while (moves < most_moves && ranges.size() < most_ranges) {
     const auto [emptiest, fullest] =
         std::minmax_element(uses.begin(), uses.end(), IsLess);
     if (uses.size() < 2 || !IsWorthMove(*fullest, *emptiest)) {
@@ -188,7 +258,14 @@
     MovePart(ranges, *part, *emptiest->target, fence);
     fullest->rate -= part->rate;
     emptiest->rate += part->rate;
-    ++move;
+    ++moves;
+  }
+  const std::size_t tidy_ranges = kTidyRangesPerTarget * candidates.size();
+  // Each plan costs a version of the table, so ranges are joined beside other
+  // moves, or when there is no room for those.
+  if (ranges.size() >= most_ranges ||
+      (moves > 0 && ranges.size() > tidy_ranges)) {
+    Tidy(now, load, level, kLeastMoves, ranges, uses, fence);
   }
   return ranges;
 }
--- a/src/coordination/key_balancer.h
+++ b/src/coordination/key_balancer.h
@@ -11,7 +11,8 @@
 
 // Moves busy keys from the fullest targets to the emptiest ones, for one
 // service: parts of ranges whose load closes half of the gap or fills the
-// emptiest target up to the mean, so that few keys move.
+// emptiest target up to the mean, so that few keys move. Once there are many
+// ranges, joins some again.
 class KeyBalancer {
  public:
   // Moves in one plan: at least so many, and one for so many targets. Each
@@ -23,7 +24,12 @@
   // Least gap between the uses of two targets that is worth a move.
   static constexpr double kGap = 0.2;
   // Ranges for each target at the most; each is renewed by itself.
-  static constexpr std::size_t kRangesPerTarget = 6;
+  static constexpr std::size_t kRangesPerTarget = 10;
+  // From so many ranges for each target on, small ones go to the owner of a
+  // neighbour, to become one range with it.
+  static constexpr std::size_t kTidyRangesPerTarget = 5;
+  // Longest range that is moved for that, keys.
+  static constexpr std::uint32_t kTidyKeys = 512;
 
   // The ranges with some owners changed and new tokens from `fence` + 1 on.
   static std::vector<KeyAssignment> Plan(
--- a/src/coordination/key_lead.cc
+++ b/src/coordination/key_lead.cc
@@ -181,6 +181,34 @@
   return changed;
 }
 
+bool KeyLead::IsSettled(const ServiceName& service,
+                        const KeyAssignment& range) const {
+  const auto state = m_ranges.find({service, range.first});
+  return !range.moving() && state != m_ranges.end() &&
+         state->second.fence == range.fence &&
+         state->second.last == range.last && state->second.granted &&
+         !state->second.fenced;
+}
+
+void KeyLead::MergeRanges(KeyTable& next) const {
+  for (auto& [service, ranges] : next.services) {
+    std::vector<KeyAssignment> merged;
+    bool extends = false;
+    for (const KeyAssignment& item : ranges) {
+      const bool settled = IsSettled(service, item);
+      if (extends && settled && merged.back().owner == item.owner &&
+          merged.back().owner_born_ms == item.owner_born_ms) {
+        merged.back().last = item.last;
+        merged.back().fence = ++next.fence;
+        continue;
+      }
+      merged.push_back(item);
+      extends = settled;
+    }
+    ranges = std::move(merged);
+  }
+}
+
 bool KeyLead::RaiseTokens(KeyTable& next) const {
   bool changed = false;
   for (auto& [service, ranges] : next.services) {
@@ -287,6 +315,7 @@
   if (!changed) {
     return std::nullopt;
   }
+  MergeRanges(next);
   if (settled) {
     m_settlement_at = now + kSettlementInterval;
   }
--- a/src/coordination/key_lead.h
+++ b/src/coordination/key_lead.h
@@ -204,6 +204,12 @@
   bool IsHeld(MonotonicTime now, std::string_view target) const;
   // Notes in the table which moves have ended.
   bool SettleMoves(KeyTable& next) const;
+  // Makes one range of neighbours with the same owner, so that the table stays
+  // short while ranges are divided.
+  void MergeRanges(KeyTable& next) const;
+  // Whether this lead has granted the range to its owner, so that nobody else
+  // may hold a key of it.
+  bool IsSettled(const ServiceName& service, const KeyAssignment& range) const;
   // Gives new tokens to ranges whose own is too low.
   bool RaiseTokens(KeyTable& next) const;
   bool PlanService(MonotonicTime now,
--- a/tests/unit/key_balancer_test.cc
+++ b/tests/unit/key_balancer_test.cc
@@ -111,6 +111,35 @@
   cr_assert_eq(Plan(targets, ranges, load, fence) == ranges, true);
 }
 
+// Guards against moves that stop for good once ranges have been divided often:
+// the busy keys change within seconds.
+Test(key_balancer, ranges_are_joined_again) {
+  const auto targets = MakeTargets(8);
+  FenceToken fence = 0;
+  auto planned = PlanFirstKeys(targets, fence);
+  KeyLoad load;
+  Report(load, 0, 0, 1);
+  std::vector<KeyAssignment> pieces;
+  for (std::uint32_t first = 0; first < 80 * 8; first += 8) {
+    KeyAssignment piece = planned[0];
+    piece.first = static_cast<KeyNumber>(first);
+    piece.last = static_cast<KeyNumber>(first + 7);
+    piece.owner = targets[(first / 8) % 8].id;
+    piece.fence = ++fence;
+    pieces.push_back(piece);
+  }
+  planned[0].first = 640;
+  planned.insert(planned.begin(), pieces.begin(), pieces.end());
+  const std::size_t before = planned.size();
+  cr_assert_geq(before, KeyBalancer::kRangesPerTarget * targets.size());
+  const auto result = Plan(targets, planned, load, fence);
+  std::size_t joined = 0;
+  for (std::size_t i = 1; i < result.size(); ++i) {
+    joined += result[i].owner == result[i - 1].owner ? 1 : 0;
+  }
+  cr_assert_geq(joined, KeyBalancer::kLeastMoves);
+}
+
 // Guards against lost or doubled keys when ranges are cut.
 Test(key_balancer, ranges_still_cover_all_keys_once) {
   const auto targets = MakeTargets(50);
--- a/tests/unit/key_lead_test.cc
+++ b/tests/unit/key_lead_test.cc
@@ -328,5 +328,52 @@
   }
 }
 
+// Guards against a table that only grows: from a number of ranges on, no busy
+// keys are moved any more.
+Test(key_lead, neighbours_with_the_same_owner_become_one_range) {
+  LeadFixture fixture;
+  fixture.Settle();
+  fixture.AddTarget("c");
+  fixture.Append();
+  fixture.FinishAll(KeyOrderOutcome::kDone);
+  fixture.FinishAll(KeyOrderOutcome::kDone);
+  fixture.Append();
+  cr_assert_eq(fixture.ranges(), 3);
+  fixture.SetLeaving("c");
+  for (int i = 0; i < 20; ++i) {
+    fixture.Advance(Milliseconds(300));
+    fixture.Append();
+    fixture.FinishAll(KeyOrderOutcome::kDone);
+  }
+  // Something else has to change for a new version.
+  fixture.AddTarget("a", 2);
+  cr_assert(fixture.Append());
+  FenceToken greatest = 0;
+  std::uint32_t next = 0;
+  for (std::size_t i = 0; i < fixture.ranges(); ++i) {
+    cr_assert_eq(fixture.Range(i).first, next);
+    next = fixture.Range(i).last + std::uint32_t{1};
+    greatest = std::max(greatest, fixture.Range(i).fence);
+    cr_assert(i == 0 || fixture.Range(i).owner != fixture.Range(i - 1).owner);
+  }
+  cr_assert_eq(next, std::uint32_t{kLastKey} + 1);
+  cr_assert_leq(greatest, fixture.lead().table().fence);
+}
+
+// Guards against two owners: a range that was granted to another target while
+// this version was on its way must not be joined before that has lapsed.
+Test(key_lead, ranges_that_are_not_granted_yet_are_not_joined) {
+  LeadFixture fixture;
+  fixture.Settle();
+  fixture.SetLeaving("a");
+  cr_assert(fixture.Append());
+  fixture.AddTarget("c");
+  fixture.Append();
+  for (std::size_t i = 1; i < fixture.ranges(); ++i) {
+    cr_assert(fixture.Range(i).owner != fixture.Range(i - 1).owner ||
+              fixture.Range(i).moving() || fixture.Range(i - 1).moving());
+  }
+}
+
 }  // namespace
 }  // namespace snipehall
