Tell the instances of ended moves by datagram

Cause: versions of the table that only note ended moves were still most of the appends, and a request for moved keys waited for one.

Change: the lead sends the tokens of ended moves to the instances that report to it, at most each 50 ms, and again with its answer to each report until the table shows them. Versions of the table that only note ended moves are 2 s apart. Targets still check every request's key, so a datagram can not make a second owner.

Ruled out: passing the table from the lead to the zones' readers instead of the store; its bytes between zones cost about what the calls do.

--- a/src/coordination/key_lead.cc
+++ b/src/coordination/key_lead.cc
@@ -167,12 +167,30 @@
   return result;
 }
 
+bool KeyLead::HasEnded(const ServiceName& service,
+                       const KeyAssignment& range) const {
+  const auto state = m_ranges.find({service, range.first});
+  return range.moving() && state != m_ranges.end() && state->second.granted;
+}
+
+std::vector<FenceToken> KeyLead::EndedMoves() const {
+  std::vector<FenceToken> fences;
+  for (const auto& [service, ranges] : m_table.services) {
+    for (const KeyAssignment& item : ranges) {
+      if (HasEnded(service, item)) {
+        fences.push_back(item.fence);
+      }
+    }
+  }
+  std::sort(fences.begin(), fences.end());
+  return fences;
+}
+
 bool KeyLead::SettleMoves(KeyTable& next) const {
   bool changed = false;
   for (auto& [service, ranges] : next.services) {
     for (KeyAssignment& item : ranges) {
-      const auto state = m_ranges.find({service, item.first});
-      if (item.moving() && state != m_ranges.end() && state->second.granted) {
+      if (HasEnded(service, item)) {
         item.previous.clear();
         changed = true;
       }
--- a/src/coordination/key_lead.h
+++ b/src/coordination/key_lead.h
@@ -96,9 +96,10 @@
   static constexpr Milliseconds kProbeInterval{500};
   // Time between two plans that balance the load of keys.
   static constexpr Milliseconds kBalanceInterval{500};
-  // Least time between two versions that only note which moves have ended. All
-  // instances read every version, and each read is priced.
-  static constexpr Milliseconds kSettlementInterval{200};
+  // Least time between two versions that only note which moves have ended. The
+  // instances are told of them by datagram; every version is read by all, and
+  // each read is priced.
+  static constexpr Milliseconds kSettlementInterval{2000};
   // A target's clock may run 2% slow, as the platform states.
   static constexpr double kDrift = 1.02;
   // Time an order may be on its way.
@@ -151,6 +152,10 @@
   // Orders that are due; each must be reported by OnOrderDone().
   std::vector<KeyOrder> TakeOrders(MonotonicTime now);
 
+  // Tokens of the ranges that the table shows as moving and that their new
+  // owners were granted, in order.
+  std::vector<FenceToken> EndedMoves() const;
+
   const KeyTable& table() const { return m_table; }
   bool IsNamedLead() const { return m_table.lead == m_self; }
   // Named by the newest table and confirmed recently.
@@ -202,6 +207,7 @@
                     KeyOrderOutcome outcome);
   // Whether a grant by this lead may last, or be on its way.
   bool IsHeld(MonotonicTime now, std::string_view target) const;
+  bool HasEnded(const ServiceName& service, const KeyAssignment& range) const;
   // Notes in the table which moves have ended.
   bool SettleMoves(KeyTable& next) const;
   // Makes one range of neighbours with the same owner, so that the table stays
--- a/src/coordination/lead_message.h
+++ b/src/coordination/lead_message.h
@@ -2,8 +2,10 @@
 
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "coordination/key_load.h"
+#include "state/key_table.h"
 #include "state/types.h"
 
 namespace snipehall {
@@ -23,6 +25,13 @@
   std::string reader;
 };
 
+// What the lead tells the others of moves of keys that have ended, so that the
+// table need not be written for each.
+struct LeadSettled {
+  // Tokens of the ranges that their new owners were granted.
+  std::vector<FenceToken> fences;
+};
+
 // The answer of an instance that is not the lead, or will soon not be any more.
 struct LeadNotServing {};
 
@@ -37,7 +46,12 @@
 // A datagram between an instance and the lead.
 struct LeadMessage {
   InstanceId from;
-  std::variant<LeadReport, LeadServing, LeadNotServing, LeadReplaced> content;
+  std::variant<LeadReport,
+               LeadServing,
+               LeadSettled,
+               LeadNotServing,
+               LeadReplaced>
+      content;
 };
 
 }  // namespace snipehall
--- a/src/protocol/lead_message.capnp
+++ b/src/protocol/lead_message.capnp
@@ -19,6 +19,9 @@
     notServing @3 :Void;
     # From a former lead to its successor.
     replaced @4 :Replaced;
+    # From the lead: tokens of ranges whose move has ended, though the newest
+    # key table may still show them as moving.
+    settled @5 :List(UInt64);
   }
 }
 
--- a/src/protocol/lead_message.capnp.h
+++ b/src/protocol/lead_message.capnp.h
@@ -39,6 +39,7 @@
     SERVING,
     NOT_SERVING,
     REPLACED,
+    SETTLED,
   };
 
   struct _capnpPrivate {
@@ -148,6 +149,10 @@
   inline bool hasReplaced() const;
   inline  ::snipehall::wire::Replaced::Reader getReplaced() const;
 
+  inline bool isSettled() const;
+  inline bool hasSettled() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getSettled() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -212,6 +217,15 @@
   inline void adoptReplaced(::capnp::Orphan< ::snipehall::wire::Replaced>&& value);
   inline ::capnp::Orphan< ::snipehall::wire::Replaced> disownReplaced();
 
+  inline bool isSettled();
+  inline bool hasSettled();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getSettled();
+  inline void setSettled( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setSettled(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initSettled(unsigned int size);
+  inline void adoptSettled(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownSettled();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -852,6 +866,66 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool LeadMessage::Reader::isSettled() const {
+  return which() == LeadMessage::SETTLED;
+}
+inline bool LeadMessage::Builder::isSettled() {
+  return which() == LeadMessage::SETTLED;
+}
+inline bool LeadMessage::Reader::hasSettled() const {
+  if (which() != LeadMessage::SETTLED) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool LeadMessage::Builder::hasSettled() {
+  if (which() != LeadMessage::SETTLED) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader LeadMessage::Reader::getSettled() const {
+  KJ_IREQUIRE((which() == LeadMessage::SETTLED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder LeadMessage::Builder::getSettled() {
+  KJ_IREQUIRE((which() == LeadMessage::SETTLED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void LeadMessage::Builder::setSettled( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  _builder.setDataField<LeadMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LeadMessage::SETTLED);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void LeadMessage::Builder::setSettled(::kj::ArrayPtr<const  ::uint64_t> value) {
+  _builder.setDataField<LeadMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LeadMessage::SETTLED);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder LeadMessage::Builder::initSettled(unsigned int size) {
+  _builder.setDataField<LeadMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LeadMessage::SETTLED);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void LeadMessage::Builder::adoptSettled(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  _builder.setDataField<LeadMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LeadMessage::SETTLED);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> LeadMessage::Builder::disownSettled() {
+  KJ_IREQUIRE((which() == LeadMessage::SETTLED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool Report::Reader::hasZone() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/protocol/lead_message_codec.cc
+++ b/src/protocol/lead_message_codec.cc
@@ -6,6 +6,7 @@
 #include <kj/io.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "protocol/lead_message.capnp.h"
 
@@ -63,6 +64,13 @@
   void operator()(const LeadServing& serving) {
     root.setServing(ToText(serving.reader));
   }
+  void operator()(const LeadSettled& settled) {
+    auto fences =
+        root.initSettled(static_cast<unsigned>(settled.fences.size()));
+    for (unsigned i = 0; i < fences.size(); ++i) {
+      fences.set(i, settled.fences[i]);
+    }
+  }
   void operator()(const LeadNotServing&) { root.setNotServing(); }
   void operator()(const LeadReplaced& replaced) {
     auto builder = root.initReplaced();
@@ -84,6 +92,14 @@
     case wire::LeadMessage::SERVING:
       message.content = LeadServing{FromText(reader.getServing())};
       return message;
+    case wire::LeadMessage::SETTLED: {
+      LeadSettled settled;
+      for (const std::uint64_t fence : reader.getSettled()) {
+        settled.fences.push_back(fence);
+      }
+      message.content = std::move(settled);
+      return message;
+    }
     case wire::LeadMessage::NOT_SERVING:
       message.content = LeadNotServing();
       return message;
--- a/src/transport/gateway/gateway_control.h
+++ b/src/transport/gateway/gateway_control.h
@@ -7,6 +7,7 @@
 #include <boost/outcome/try.hpp>
 #include <concepts>
 #include <functional>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <optional>
@@ -189,10 +190,18 @@
       m_link.Send(sender,
                   {m_instance, LeadServing{m_relays.OnReport(
                                    now, report->zone, report->relay_address)}});
+      m_reporters.insert_or_assign(sender, now);
+      std::vector<FenceToken> ended = m_lead.EndedMoves();
+      if (!ended.empty()) {
+        m_link.Send(sender, {m_instance, LeadSettled{std::move(ended)}});
+      }
     } else if (const auto* serving =
                    std::get_if<LeadServing>(&message.content)) {
       m_watch.OnServing(message.from);
       SetReader(serving->reader);
+    } else if (const auto* settled =
+                   std::get_if<LeadSettled>(&message.content)) {
+      m_state.AddSettled(settled->fences);
     } else if (std::holds_alternative<LeadNotServing>(message.content)) {
       m_watch.OnNotServing(message.from);
     } else if (const auto* replaced =
@@ -238,6 +247,10 @@
   // Time between two looks at due orders.
   static constexpr Milliseconds kLeadTick{100};
   static constexpr Milliseconds kCallLimit{1000};
+  // Least time between two datagrams about ended moves to each instance.
+  static constexpr Milliseconds kAnnounceInterval{50};
+  // Instances that have not reported for longer are not told; three reports.
+  static constexpr Milliseconds kReporterLifetime{1200};
   // Age of the newest read of the key table up to which the log counts as
   // reachable: longer than a read waits, and one that is passed on.
   static constexpr Milliseconds kReachableAge{2000};
@@ -454,6 +467,31 @@
     }
   }
 
+  // Tells the instances that report of moves that have ended since the last
+  // time.
+  void AnnounceEndedMoves() {
+    const MonotonicTime now = Now();
+    if (!m_lead.IsLead(now) || now < m_announce_at) {
+      return;
+    }
+    std::vector<FenceToken> ended = m_lead.EndedMoves();
+    std::vector<FenceToken> fresh;
+    std::set_difference(ended.begin(), ended.end(), m_announced.begin(),
+                        m_announced.end(), std::back_inserter(fresh));
+    m_announced = std::move(ended);
+    if (fresh.empty()) {
+      return;
+    }
+    m_announce_at = now + kAnnounceInterval;
+    m_state.AddSettled(fresh);
+    std::erase_if(m_reporters, [now](const auto& item) {
+      return now - item.second > kReporterLifetime;
+    });
+    for (const auto& [endpoint, seen] : m_reporters) {
+      m_link.Send(endpoint, {m_instance, LeadSettled{fresh}});
+    }
+  }
+
   void WakeLead() {
     m_wake_lead = true;
     m_lead_timer.cancel();
@@ -478,6 +516,7 @@
           Spawn(m_executor, Append(*std::move(next)));
         }
       }
+      AnnounceEndedMoves();
       for (KeyOrder& order : m_lead.TakeOrders(Now())) {
         Spawn(m_executor, Send(std::move(order)));
       }
@@ -583,6 +622,11 @@
   // Shared by the feeds.
   std::shared_ptr<RelayChoice> m_relay;
   RelayPlanner m_relays;
+  // Instances that report to this one as the lead, and when they last did.
+  std::map<LeadLink::Endpoint, MonotonicTime> m_reporters;
+  // Ended moves of the last announcement, in order.
+  std::vector<FenceToken> m_announced;
+  MonotonicTime m_announce_at;
   Feed m_policy_feed;
   Feed m_target_feed;
   Feed m_key_feed;
--- a/src/transport/gateway/routing_state.h
+++ b/src/transport/gateway/routing_state.h
@@ -2,6 +2,8 @@
 
 #include <list>
 #include <memory>
+#include <set>
+#include <span>
 
 #include "state/key_table.h"
 #include "state/route_policy.h"
@@ -45,10 +47,41 @@
   }
   void SetKeys(KeyTable keys) {
     m_keys = std::move(keys);
+    std::set<FenceToken> known;
+    for (const auto& [service, ranges] : m_keys.services) {
+      for (const KeyAssignment& range : ranges) {
+        known.insert(range.fence);
+      }
+    }
+    std::erase_if(m_settled, [&known](FenceToken fence) {
+      return !known.contains(fence);
+    });
+    ApplySettled();
     NoteChange();
   }
+  // The moves of the ranges with these tokens have ended, though the table of
+  // keys does not show it yet.
+  void AddSettled(std::span<const FenceToken> fences) {
+    m_settled.insert(fences.begin(), fences.end());
+    if (ApplySettled()) {
+      NoteChange();
+    }
+  }
 
  private:
+  bool ApplySettled() {
+    bool changed = false;
+    for (auto& [service, ranges] : m_keys.services) {
+      for (KeyAssignment& range : ranges) {
+        if (range.moving() && m_settled.contains(range.fence)) {
+          range.previous.clear();
+          changed = true;
+        }
+      }
+    }
+    return changed;
+  }
+
   void NoteChange() {
     ++m_version;
     for (AsyncEvent* event : m_watches) {
@@ -59,6 +92,7 @@
   std::shared_ptr<const RoutePolicy> m_policy;
   TargetList m_targets;
   KeyTable m_keys;
+  std::set<FenceToken> m_settled;
   std::uint64_t m_version = 0;
   std::list<AsyncEvent*> m_watches;
 };
--- a/tests/unit/key_codec_test.cc
+++ b/tests/unit/key_codec_test.cc
@@ -63,6 +63,15 @@
   cr_assert(replaced.holds == Milliseconds(4080));
 }
 
+Test(lead_message_codec, settled_survives) {
+  const std::string bytes =
+      EncodeLeadMessage({"entry-1", LeadSettled{{3, 1ULL << 40}}});
+  const auto decoded = DecodeLeadMessage({bytes.data(), bytes.size()});
+  cr_assert(decoded.has_value());
+  const auto& settled = std::get<LeadSettled>(decoded.value().content);
+  cr_assert(settled.fences == std::vector<FenceToken>({3, 1ULL << 40}));
+}
+
 // Guards against a process that ends because of a stray datagram.
 Test(lead_message_codec, other_bytes_are_refused) {
   const std::string noise(300, '\x7f');
--- /dev/null
+++ b/tests/unit/routing_state_test.cc
@@ -0,0 +1,57 @@
+#include "transport/gateway/routing_state.h"
+
+#include <array>
+
+#include <criterion/criterion.h>
+
+namespace snipehall {
+namespace {
+
+constexpr const char* kService = "catalog";
+
+KeyTable MovingTable(FenceToken fence) {
+  KeyTable table;
+  table.fence = fence;
+  KeyAssignment range;
+  range.owner = "b";
+  range.previous = "a";
+  range.fence = fence;
+  table.services[kService] = {range};
+  return table;
+}
+
+// Guards against requests that wait for keys which their new owner serves
+// already.
+Test(routing_state, ended_move_is_known_before_the_table_shows_it) {
+  RoutingState state;
+  state.SetKeys(MovingTable(7));
+  cr_assert(state.keys().Find(kService, 1)->moving());
+  const std::uint64_t before = state.version();
+  const std::array<FenceToken, 1> fences = {7};
+  state.AddSettled(fences);
+  cr_assert_not(state.keys().Find(kService, 1)->moving());
+  cr_assert_gt(state.version(), before);
+}
+
+// Guards against a newer table, written before the move ended, that hides it.
+Test(routing_state, ended_move_stays_known_with_the_next_table) {
+  RoutingState state;
+  const std::array<FenceToken, 1> fences = {7};
+  state.AddSettled(fences);
+  state.SetKeys(MovingTable(7));
+  cr_assert_not(state.keys().Find(kService, 1)->moving());
+}
+
+// Guards against requests to a target that has not been granted the keys yet:
+// a later move of the same range has another token.
+Test(routing_state, later_move_of_the_same_keys_counts_as_moving) {
+  RoutingState state;
+  const std::array<FenceToken, 1> fences = {7};
+  state.SetKeys(MovingTable(7));
+  state.AddSettled(fences);
+  state.SetKeys(MovingTable(9));
+  cr_assert(state.keys().Find(kService, 1)->moving());
+}
+
+}  // namespace
+}  // namespace snipehall
