Read the log through instances that have new records

Change: an instance reports its address for reads only while its records are new and it does not stop; the lead replaces a reader after 1 s without. An instance reports at once when it learns of a lead, whose answer names the reader.

--- a/src/coordination/lead_message.h
+++ b/src/coordination/lead_message.h
@@ -13,7 +13,8 @@
 // What an instance tells the lead.
 struct LeadReport {
   ZoneName zone;
-  // "address:port" where other instances may read the log's records.
+  // "address:port" where other instances may read the log's records; empty
+  // when it has no new ones, or will stop.
   std::string relay_address;
   // What it saw of a keyed service; without a service, nothing.
   KeyLoadReport load;
--- a/src/coordination/relay_planner.h
+++ b/src/coordination/relay_planner.h
@@ -14,10 +14,12 @@
 class RelayPlanner {
  public:
   // An instance that has not reported for this long is not chosen.
-  static constexpr Milliseconds kLifetime{1500};
+  // Two reports may be lost.
+  static constexpr Milliseconds kLifetime{1000};
 
-  // An instance of the zone, which takes reads at `address`, reported. Returns
-  // the address of the zone's reader. It stays the same while it reports.
+  // An instance of the zone, which takes reads at `address`, reported; without
+  // an address it has no new records to pass on. Returns the address of the
+  // zone's reader, or nothing. It stays the same while it reports.
   std::string OnReport(MonotonicTime now,
                        std::string_view zone,
                        std::string_view address);
--- a/src/transport/gateway/gateway_control.h
+++ b/src/transport/gateway/gateway_control.h
@@ -165,10 +165,12 @@
     if (reports.empty()) {
       reports.emplace_back();
     }
+    const std::string relay_address =
+        CanPassRecordsOn() ? m_peer_address : std::string();
     for (KeyLoadReport& report : reports) {
       m_link.Send(
           m_state.keys().lead_address,
-          {m_instance, LeadReport{m_zone, m_peer_address, std::move(report)}});
+          {m_instance, LeadReport{m_zone, relay_address, std::move(report)}});
     }
     m_watch.OnReportSent();
     if (m_watch.IsLost()) {
@@ -179,6 +181,10 @@
   void OnMessage(const LeadLink::Endpoint& sender, const LeadMessage& message) {
     const MonotonicTime now = Now();
     if (const auto* report = std::get_if<LeadReport>(&message.content)) {
+      if (!m_has_keys_end) {
+        // Whether this instance is the lead is not known yet.
+        return;
+      }
       // A lead that cannot read the log is replaced by an instance that can.
       if (!m_lead.IsLead(now) || m_draining) {
         m_link.Send(sender, {m_instance, LeadNotServing()});
@@ -254,6 +260,9 @@
   // Age of the newest read of the key table up to which the log counts as
   // reachable: longer than a read waits, and one that is passed on.
   static constexpr Milliseconds kReachableAge{2000};
+  // Age up to which records may be passed on; older ones are refused.
+  static constexpr Milliseconds kPassedOnAge =
+      RelayedLog<typename Platform::Log>::kMaxAge;
   // Time in which a lead reads the log after an outage, and its answer to the
   // next report arrives.
   static constexpr Milliseconds kConfirmTime{1500};
@@ -299,9 +308,24 @@
     return std::nullopt;
   }
 
+  // Whether other instances may read the log's records from this one: its own
+  // are new, and it does not stop.
+  bool CanPassRecordsOn() const {
+    const MonotonicTime now = Now();
+    const auto feeds = {&m_policy_feed, &m_target_feed, &m_key_feed};
+    return !m_draining &&
+           std::all_of(feeds.begin(), feeds.end(), [now](const Feed* feed) {
+             return now - feed->cache().read_at() < kPassedOnAge;
+           });
+  }
+
   // Reads the log's records from `reader`, or from the log itself when that is
-  // this instance, or this instance is the lead.
+  // this instance, or this instance is the lead. Without a reader, goes on as
+  // before.
   void SetReader(const std::string& reader) {
+    if (reader.empty()) {
+      return;
+    }
     const bool direct = reader == m_peer_address || m_lead.IsNamedLead();
     const std::string address = direct ? std::string() : reader;
     if (address != m_relay->address) {
@@ -454,6 +478,7 @@
                            {"fence", std::to_string(table.fence)}});
     }
     const bool replaced = m_lead.IsNamedLead() && table.lead != m_instance;
+    const bool new_lead = table.lead != m_state.keys().lead;
     const Milliseconds holds = m_lead.LongestGrant(now);
     m_state.SetKeys(table);
     m_watch.OnLead(table.lead);
@@ -464,6 +489,9 @@
     m_lead.OnTable(now, std::move(table));
     if (m_lead.IsNamedLead()) {
       SetReader(m_peer_address);
+    } else if (new_lead) {
+      // The answer names the instance to read from.
+      Report({});
     }
   }
 
