Prefer fast links for lead and readers; write the key table compactly

Change: reports carry the rate of the sender's link, from the settings. A reader or lead whose link is less than half as fast is replaced, and an instance with a slow link waits for two more reports before it takes the lead. The table names each target once and a range by its first key, so it is about a third as long.

Test replaced: the record has no ends of ranges any more, so overlaps and gaps can not be written; the new test refuses all that the new form allows wrongly.

--- a/src/coordination/lead_message.h
+++ b/src/coordination/lead_message.h
@@ -18,12 +18,16 @@
   std::string relay_address;
   // What it saw of a keyed service; without a service, nothing.
   KeyLoadReport load;
+  // Rate of its link, Mbit/s.
+  LinkRate link = 0;
 };
 
 // The answer of the lead to a report.
 struct LeadServing {
   // "address:port" of the instance that reads the log for the zone.
   std::string reader;
+  // Rate of the fastest link of an instance that reports, Mbit/s.
+  LinkRate fastest_link = 0;
 };
 
 // What the lead tells the others of moves of keys that have ended, so that the
--- a/src/coordination/lead_watch.cc
+++ b/src/coordination/lead_watch.cc
@@ -9,8 +9,9 @@
   }
 }
 
-void LeadWatch::OnServing(std::string_view from) {
+void LeadWatch::OnServing(std::string_view from, bool faster) {
   if (from == m_lead) {
+    m_faster = faster;
     Restart();
   }
 }
--- a/src/coordination/lead_watch.h
+++ b/src/coordination/lead_watch.h
@@ -19,6 +19,10 @@
   // Unanswered reports after which the lead is taken for lost.
   static constexpr int kUnanswered = 3;
 
+  // Reports for which an instance waits besides when another one has a much
+  // faster link: the lead passes every table on, and orders all targets.
+  static constexpr int kSlowLinkReports = 2;
+
   // Reports by which the first attempts are spread when there is no lead yet.
   static constexpr int kFirstSpread = 4;
 
@@ -29,13 +33,15 @@
   // The newest key table names `lead`.
   void OnLead(std::string_view lead);
   void OnReportSent() { ++m_unanswered; }
-  void OnServing(std::string_view from);
+  // `faster` says that there is an instance with a much faster link.
+  void OnServing(std::string_view from, bool faster);
   void OnNotServing(std::string_view from);
 
   // Whether the instance is to take over now.
   bool IsLost() const {
     const int unanswered = m_lead.empty() ? 0 : kUnanswered;
-    return m_unanswered > unanswered + m_patience;
+    const int slow = m_faster ? kSlowLinkReports : 0;
+    return m_unanswered > unanswered + m_patience + slow;
   }
 
  private:
@@ -45,6 +51,7 @@
   InstanceId m_lead;
   int m_unanswered = 0;
   int m_patience = 0;
+  bool m_faster = false;
 };
 
 }  // namespace snipehall
--- a/src/coordination/relay_planner.cc
+++ b/src/coordination/relay_planner.cc
@@ -1,16 +1,22 @@
 #include "coordination/relay_planner.h"
 
+#include <algorithm>
+
 namespace snipehall {
 
 std::string RelayPlanner::OnReport(MonotonicTime now,
                                    std::string_view zone,
-                                   std::string_view address) {
+                                   std::string_view address,
+                                   LinkRate link) {
+  m_fastest_link = std::max(m_fastest_link, link);
   Reader& reader = m_readers[ZoneName(zone)];
   if (address.empty()) {
     return now < reader.seen + kLifetime ? reader.address : std::string();
   }
-  if (reader.address.empty() || now >= reader.seen + kLifetime) {
+  if (reader.address.empty() || now >= reader.seen + kLifetime ||
+      IsMuchFaster(link, reader.link)) {
     reader.address = address;
+    reader.link = link;
   }
   if (reader.address == address) {
     reader.seen = now;
--- a/src/protocol/key_table_codec.cc
+++ b/src/protocol/key_table_codec.cc
@@ -2,6 +2,9 @@
 
 #include <boost/json.hpp>
 #include <boost/outcome/try.hpp>
+#include <map>
+#include <span>
+#include <vector>
 
 namespace snipehall {
 
@@ -13,46 +16,91 @@
   return Fail(ErrorCode::kCorrupt, "key table: " + message);
 }
 
-Result<KeyAssignment> DecodeRange(const json::value& value) {
-  const json::array* items = value.if_array();
-  if (items == nullptr || items->size() != 6) {
-    return Corrupt("a range is not an array of 6");
+// A process of a target, which ranges name by its place in a list.
+struct TargetProcess {
+  TargetId id;
+  std::int64_t born_ms = 0;
+
+  auto operator<=>(const TargetProcess&) const = default;
+};
+
+// Gives each process a place in the list of the table.
+class TargetIndex {
+ public:
+  std::size_t Find(const TargetId& id, std::int64_t born_ms) {
+    const auto [found, added] =
+        m_places.try_emplace(TargetProcess{id, born_ms}, m_places.size());
+    if (added) {
+      m_list.push_back(json::array{id, born_ms});
+    }
+    return found->second;
   }
-  const auto number = [items](std::size_t index) {
-    return items->at(index).to_number<std::uint64_t>();
-  };
-  const auto text = [items](std::size_t index) {
-    return std::string(items->at(index).as_string());
+  json::array TakeList() { return std::move(m_list); }
+
+ private:
+  std::map<TargetProcess, std::size_t> m_places;
+  json::array m_list;
+};
+
+Result<std::vector<TargetProcess>> DecodeTargets(const json::array& items) {
+  std::vector<TargetProcess> targets;
+  for (const json::value& item : items) {
+    const json::array& target = item.as_array();
+    targets.push_back({std::string(target.at(0).as_string()),
+                       target.at(1).to_number<std::int64_t>()});
+  }
+  return targets;
+}
+
+// [first, owner, token] or [first, owner, token, previous owner]; the owners
+// are places in the list of targets.
+Result<KeyAssignment> DecodeRange(const json::array& items,
+                                  std::span<const TargetProcess> targets) {
+  if (items.size() != 3 && items.size() != 4) {
+    return Corrupt("a range is not an array of 3 or 4");
+  }
+  const auto number = [&items](std::size_t index) {
+    return items.at(index).to_number<std::uint64_t>();
   };
-  KeyAssignment range;
   const std::uint64_t first = number(0);
-  const std::uint64_t last = number(1);
-  if (first > last || last > kLastKey) {
+  const std::uint64_t owner = number(1);
+  const std::uint64_t previous = items.size() > 3 ? number(3) : owner;
+  if (first > kLastKey || owner >= targets.size() ||
+      previous >= targets.size()) {
     return Corrupt("a range is out of bounds");
   }
+  KeyAssignment range;
   range.first = static_cast<KeyNumber>(first);
-  range.last = static_cast<KeyNumber>(last);
-  range.owner = text(2);
-  range.owner_born_ms = items->at(3).to_number<std::int64_t>();
-  range.fence = number(4);
-  range.previous = text(5);
+  range.owner = targets[owner].id;
+  range.owner_born_ms = targets[owner].born_ms;
+  range.fence = number(2);
+  if (items.size() > 3) {
+    range.previous = targets[previous].id;
+  }
   return range;
 }
 
-Result<std::vector<KeyAssignment>> DecodeRanges(const json::array& items) {
+// Each range ends before the next one.
+Result<std::vector<KeyAssignment>> DecodeRanges(
+    const json::array& items,
+    std::span<const TargetProcess> targets) {
   std::vector<KeyAssignment> ranges;
-  KeyNumber next = 0;
   for (const json::value& item : items) {
-    BOOST_OUTCOME_TRY(KeyAssignment range, DecodeRange(item));
-    if (range.first != next) {
-      return Corrupt("ranges overlap or leave a gap");
+    BOOST_OUTCOME_TRY(KeyAssignment range,
+                      DecodeRange(item.as_array(), targets));
+    if (ranges.empty() ? range.first != 0
+                       : range.first <= ranges.back().first) {
+      return Corrupt("the ranges are not in order from 0 on");
+    }
+    if (!ranges.empty()) {
+      ranges.back().last = range.first - 1;
     }
-    next = range.last + 1;
     ranges.push_back(std::move(range));
   }
-  if (next != kLastKey + 1) {
-    return Corrupt("the ranges do not cover all keys");
+  if (ranges.empty()) {
+    return Corrupt("a service has no ranges");
   }
+  ranges.back().last = kLastKey;
   return ranges;
 }
 
@@ -62,9 +110,11 @@
   table.lead_address = std::string(object.at("lead_address").as_string());
   table.term = object.at("term").to_number<std::uint64_t>();
   table.fence = object.at("fence").to_number<std::uint64_t>();
+  BOOST_OUTCOME_TRY(const std::vector<TargetProcess> targets,
+                    DecodeTargets(object.at("targets").as_array()));
   for (const auto& [service, ranges] : object.at("services").as_object()) {
     BOOST_OUTCOME_TRY(std::vector<KeyAssignment> decoded,
-                      DecodeRanges(ranges.as_array()));
+                      DecodeRanges(ranges.as_array(), targets));
     table.services.emplace(service, std::move(decoded));
   }
   return table;
@@ -73,13 +123,18 @@
 }  // namespace
 
 std::string EncodeKeyTable(const KeyTable& table) {
+  TargetIndex targets;
   json::object services;
   for (const auto& [service, ranges] : table.services) {
     json::array items;
     for (const KeyAssignment& range : ranges) {
-      items.push_back(json::array{range.first, range.last, range.owner,
-                                  range.owner_born_ms, range.fence,
-                                  range.previous});
+      json::array item = {range.first,
+                          targets.Find(range.owner, range.owner_born_ms),
+                          range.fence};
+      if (range.moving()) {
+        item.push_back(targets.Find(range.previous, 0));
+      }
+      items.push_back(std::move(item));
     }
     services[service] = std::move(items);
   }
@@ -88,6 +143,7 @@
   object["lead_address"] = table.lead_address;
   object["term"] = table.term;
   object["fence"] = table.fence;
+  object["targets"] = targets.TakeList();
   object["services"] = std::move(services);
   return json::serialize(object);
 }
--- a/src/protocol/lead_message.capnp
+++ b/src/protocol/lead_message.capnp
@@ -12,9 +12,8 @@
   union {
     # To the lead.
     report @1 :Report;
-    # From the lead, in answer to a report: the address of the instance that
-    # reads the log for the sender's availability zone.
-    serving @2 :Text;
+    # From the lead, in answer to a report.
+    serving @2 :Serving;
     # From an instance that is not the lead, or will soon not be any more.
     notServing @3 :Void;
     # From a former lead to its successor.
@@ -31,6 +30,15 @@
   relayAddress @1 :Text;
   # What the sender saw of a keyed service.
   load @2 :LoadReport;
+  # Rate of the sender's link, Mbit/s.
+  link @3 :UInt32;
+}
+
+struct Serving {
+  # The instance that reads the log for the receiver's availability zone.
+  reader @0 :Text;
+  # Rate of the fastest link of an instance that reports, Mbit/s.
+  fastestLink @1 :UInt32;
 }
 
 struct Replaced {
--- a/src/protocol/lead_message.capnp.c++
+++ b/src/protocol/lead_message.capnp.c++
@@ -83,11 +83,11 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     115, 101, 114, 118, 105, 110, 103,   0,
-     12,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    116,  49,  27, 218,  81, 220, 231, 175,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     12,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     110, 111, 116,  83, 101, 114, 118, 105,
@@ -124,6 +124,7 @@
 ::capnp::word const* const bp_9fed3600d6188081 = b_9fed3600d6188081.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_9fed3600d6188081[] = {
+  &s_afe7dc51da1b3174,
   &s_eef3dcc479991b0e,
   &s_f22ece0f93db5bf7,
 };
@@ -131,20 +132,20 @@
 static const uint16_t i_9fed3600d6188081[] = {1, 2, 3, 4, 5, 0};
 const ::capnp::_::RawSchema s_9fed3600d6188081 = {
   0x9fed3600d6188081, b_9fed3600d6188081.words, 114, d_9fed3600d6188081, m_9fed3600d6188081,
-  2, 6, i_9fed3600d6188081, nullptr, nullptr, { &s_9fed3600d6188081, nullptr, nullptr, 0, 0, nullptr }
+  3, 6, i_9fed3600d6188081, nullptr, nullptr, { &s_9fed3600d6188081, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<64> b_f22ece0f93db5bf7 = {
+static const ::capnp::_::AlignedData<79> b_f22ece0f93db5bf7 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     247,  91, 219, 147,  15, 206,  46, 242,
-     19,   0,   0,   0,   1,   0,   0,   0,
+     19,   0,   0,   0,   1,   0,   1,   0,
      38,  74, 127,  94, 201, 176, 161, 211,
       3,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0, 210,   0,   0,   0,
      33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0, 175,   0,   0,   0,
+     29,   0,   0,   0, 231,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     108, 101,  97, 100,  95, 109, 101, 115,
@@ -152,28 +153,35 @@
     110, 112,  58,  82, 101, 112, 111, 114,
     116,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     12,   0,   0,   0,   3,   0,   4,   0,
+     16,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     69,   0,   0,   0,  42,   0,   0,   0,
+     97,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     64,   0,   0,   0,   3,   0,   1,   0,
-     76,   0,   0,   0,   2,   0,   1,   0,
+     92,   0,   0,   0,   3,   0,   1,   0,
+    104,   0,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     73,   0,   0,   0, 106,   0,   0,   0,
+    101,   0,   0,   0, 106,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     72,   0,   0,   0,   3,   0,   1,   0,
-     84,   0,   0,   0,   2,   0,   1,   0,
+    100,   0,   0,   0,   3,   0,   1,   0,
+    112,   0,   0,   0,   2,   0,   1,   0,
       2,   0,   0,   0,   2,   0,   0,   0,
       0,   0,   1,   0,   2,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     81,   0,   0,   0,  42,   0,   0,   0,
+    109,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     76,   0,   0,   0,   3,   0,   1,   0,
-     88,   0,   0,   0,   2,   0,   1,   0,
+    104,   0,   0,   0,   3,   0,   1,   0,
+    116,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    113,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    108,   0,   0,   0,   3,   0,   1,   0,
+    120,   0,   0,   0,   2,   0,   1,   0,
     122, 111, 110, 101,   0,   0,   0,   0,
      12,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -197,6 +205,14 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    108, 105, 110, 107,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
@@ -205,11 +221,71 @@
 static const ::capnp::_::RawSchema* const d_f22ece0f93db5bf7[] = {
   &s_89f62009bfccd807,
 };
-static const uint16_t m_f22ece0f93db5bf7[] = {2, 1, 0};
-static const uint16_t i_f22ece0f93db5bf7[] = {0, 1, 2};
+static const uint16_t m_f22ece0f93db5bf7[] = {3, 2, 1, 0};
+static const uint16_t i_f22ece0f93db5bf7[] = {0, 1, 2, 3};
 const ::capnp::_::RawSchema s_f22ece0f93db5bf7 = {
-  0xf22ece0f93db5bf7, b_f22ece0f93db5bf7.words, 64, d_f22ece0f93db5bf7, m_f22ece0f93db5bf7,
-  1, 3, i_f22ece0f93db5bf7, nullptr, nullptr, { &s_f22ece0f93db5bf7, nullptr, nullptr, 0, 0, nullptr }
+  0xf22ece0f93db5bf7, b_f22ece0f93db5bf7.words, 79, d_f22ece0f93db5bf7, m_f22ece0f93db5bf7,
+  1, 4, i_f22ece0f93db5bf7, nullptr, nullptr, { &s_f22ece0f93db5bf7, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<49> b_afe7dc51da1b3174 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    116,  49,  27, 218,  81, 220, 231, 175,
+     19,   0,   0,   0,   1,   0,   1,   0,
+     38,  74, 127,  94, 201, 176, 161, 211,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 218,   0,   0,   0,
+     33,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    108, 101,  97, 100,  95, 109, 101, 115,
+    115,  97, 103, 101,  46,  99,  97, 112,
+    110, 112,  58,  83, 101, 114, 118, 105,
+    110, 103,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  98,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     44,   0,   0,   0,   3,   0,   1,   0,
+     56,   0,   0,   0,   2,   0,   1,   0,
+    114, 101,  97, 100, 101, 114,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    102,  97, 115, 116, 101, 115, 116,  76,
+    105, 110, 107,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_afe7dc51da1b3174 = b_afe7dc51da1b3174.words;
+#if !CAPNP_LITE
+static const uint16_t m_afe7dc51da1b3174[] = {1, 0};
+static const uint16_t i_afe7dc51da1b3174[] = {0, 1};
+const ::capnp::_::RawSchema s_afe7dc51da1b3174 = {
+  0xafe7dc51da1b3174, b_afe7dc51da1b3174.words, 49, nullptr, m_afe7dc51da1b3174,
+  0, 2, i_afe7dc51da1b3174, nullptr, nullptr, { &s_afe7dc51da1b3174, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<48> b_eef3dcc479991b0e = {
@@ -476,6 +552,14 @@
 constexpr ::capnp::_::RawSchema const* Report::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Serving
+constexpr uint16_t Serving::_capnpPrivate::dataWordSize;
+constexpr uint16_t Serving::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Serving::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Serving::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // Replaced
 constexpr uint16_t Replaced::_capnpPrivate::dataWordSize;
 constexpr uint16_t Replaced::_capnpPrivate::pointerCount;
--- a/src/protocol/lead_message.capnp.h
+++ b/src/protocol/lead_message.capnp.h
@@ -18,6 +18,7 @@
 
 CAPNP_DECLARE_SCHEMA(9fed3600d6188081);
 CAPNP_DECLARE_SCHEMA(f22ece0f93db5bf7);
+CAPNP_DECLARE_SCHEMA(afe7dc51da1b3174);
 CAPNP_DECLARE_SCHEMA(eef3dcc479991b0e);
 CAPNP_DECLARE_SCHEMA(89f62009bfccd807);
 CAPNP_DECLARE_SCHEMA(f5317be38cc662b8);
@@ -58,7 +59,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f22ece0f93db5bf7, 0, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(f22ece0f93db5bf7, 1, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Serving {
+  Serving() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(afe7dc51da1b3174, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -140,7 +156,7 @@
 
   inline bool isServing() const;
   inline bool hasServing() const;
-  inline  ::capnp::Text::Reader getServing() const;
+  inline  ::snipehall::wire::Serving::Reader getServing() const;
 
   inline bool isNotServing() const;
   inline  ::capnp::Void getNotServing() const;
@@ -199,11 +215,11 @@
 
   inline bool isServing();
   inline bool hasServing();
-  inline  ::capnp::Text::Builder getServing();
-  inline void setServing( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initServing(unsigned int size);
-  inline void adoptServing(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownServing();
+  inline  ::snipehall::wire::Serving::Builder getServing();
+  inline void setServing( ::snipehall::wire::Serving::Reader value);
+  inline  ::snipehall::wire::Serving::Builder initServing();
+  inline void adoptServing(::capnp::Orphan< ::snipehall::wire::Serving>&& value);
+  inline ::capnp::Orphan< ::snipehall::wire::Serving> disownServing();
 
   inline bool isNotServing();
   inline  ::capnp::Void getNotServing();
@@ -278,6 +294,8 @@
   inline bool hasLoad() const;
   inline  ::snipehall::wire::LoadReport::Reader getLoad() const;
 
+  inline  ::uint32_t getLink() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -327,6 +345,9 @@
   inline void adoptLoad(::capnp::Orphan< ::snipehall::wire::LoadReport>&& value);
   inline ::capnp::Orphan< ::snipehall::wire::LoadReport> disownLoad();
 
+  inline  ::uint32_t getLink();
+  inline void setLink( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -354,6 +375,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class Serving::Reader {
+public:
+  typedef Serving Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReader() const;
+  inline  ::capnp::Text::Reader getReader() const;
+
+  inline  ::uint32_t getFastestLink() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Serving::Builder {
+public:
+  typedef Serving Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReader();
+  inline  ::capnp::Text::Builder getReader();
+  inline void setReader( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initReader(unsigned int size);
+  inline void adoptReader(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownReader();
+
+  inline  ::uint32_t getFastestLink();
+  inline void setFastestLink( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Serving::Pipeline {
+public:
+  typedef Serving Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Replaced::Reader {
 public:
   typedef Replaced Reads;
@@ -748,41 +855,41 @@
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader LeadMessage::Reader::getServing() const {
+inline  ::snipehall::wire::Serving::Reader LeadMessage::Reader::getServing() const {
   KJ_IREQUIRE((which() == LeadMessage::SERVING),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::snipehall::wire::Serving>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder LeadMessage::Builder::getServing() {
+inline  ::snipehall::wire::Serving::Builder LeadMessage::Builder::getServing() {
   KJ_IREQUIRE((which() == LeadMessage::SERVING),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::snipehall::wire::Serving>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void LeadMessage::Builder::setServing( ::capnp::Text::Reader value) {
+inline void LeadMessage::Builder::setServing( ::snipehall::wire::Serving::Reader value) {
   _builder.setDataField<LeadMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, LeadMessage::SERVING);
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::snipehall::wire::Serving>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder LeadMessage::Builder::initServing(unsigned int size) {
+inline  ::snipehall::wire::Serving::Builder LeadMessage::Builder::initServing() {
   _builder.setDataField<LeadMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, LeadMessage::SERVING);
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+  return ::capnp::_::PointerHelpers< ::snipehall::wire::Serving>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void LeadMessage::Builder::adoptServing(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
+    ::capnp::Orphan< ::snipehall::wire::Serving>&& value) {
   _builder.setDataField<LeadMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, LeadMessage::SERVING);
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::snipehall::wire::Serving>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> LeadMessage::Builder::disownServing() {
+inline ::capnp::Orphan< ::snipehall::wire::Serving> LeadMessage::Builder::disownServing() {
   KJ_IREQUIRE((which() == LeadMessage::SERVING),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::snipehall::wire::Serving>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
@@ -1033,6 +1140,68 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t Report::Reader::getLink() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Report::Builder::getLink() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Report::Builder::setLink( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Serving::Reader::hasReader() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Serving::Builder::hasReader() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Serving::Reader::getReader() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Serving::Builder::getReader() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Serving::Builder::setReader( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Serving::Builder::initReader(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Serving::Builder::adoptReader(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Serving::Builder::disownReader() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Serving::Reader::getFastestLink() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Serving::Builder::getFastestLink() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Serving::Builder::setFastestLink( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Replaced::Reader::getTerm() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/protocol/lead_message_codec.cc
+++ b/src/protocol/lead_message_codec.cc
@@ -60,9 +60,12 @@
     builder.setZone(ToText(report.zone));
     builder.setRelayAddress(ToText(report.relay_address));
     WriteLoad(report.load, builder.initLoad());
+    builder.setLink(report.link);
   }
   void operator()(const LeadServing& serving) {
-    root.setServing(ToText(serving.reader));
+    auto builder = root.initServing();
+    builder.setReader(ToText(serving.reader));
+    builder.setFastestLink(serving.fastest_link);
   }
   void operator()(const LeadSettled& settled) {
     auto fences =
@@ -84,13 +87,14 @@
   message.from = FromText(reader.getFrom());
   switch (reader.which()) {
     case wire::LeadMessage::REPORT:
-      message.content =
-          LeadReport{FromText(reader.getReport().getZone()),
-                     FromText(reader.getReport().getRelayAddress()),
-                     ReadLoad(reader.getReport().getLoad())};
+      message.content = LeadReport{
+          FromText(reader.getReport().getZone()),
+          FromText(reader.getReport().getRelayAddress()),
+          ReadLoad(reader.getReport().getLoad()), reader.getReport().getLink()};
       return message;
     case wire::LeadMessage::SERVING:
-      message.content = LeadServing{FromText(reader.getServing())};
+      message.content = LeadServing{FromText(reader.getServing().getReader()),
+                                    reader.getServing().getFastestLink()};
       return message;
     case wire::LeadMessage::SETTLED: {
       LeadSettled settled;
--- a/src/state/types.h
+++ b/src/state/types.h
@@ -13,6 +13,8 @@
 // Random number that a process draws when it starts.
 using Incarnation = std::uint64_t;
 
+// Rate of an instance's link, Mbit/s; zero when it is not known.
+using LinkRate = std::uint32_t;
 using InstanceId = std::string;
 using TargetId = std::string;
 using ZoneName = std::string;
--- a/src/transport/gateway/gateway_control.h
+++ b/src/transport/gateway/gateway_control.h
@@ -97,6 +97,7 @@
                    NewFeedLog({Milliseconds(0), kWait}),
                    Events("keys", &GatewayControl::OnKeyPage)),
         m_zone(settings.zone),
+        m_link_rate(settings.link),
         m_peer_address(settings.peer_address),
         m_relay_server(executor,
                        [this](std::string_view topic, std::uint64_t from) {
@@ -156,7 +157,7 @@
         m_lead.OnLoad(now, report);
       }
       // The lead reads the log in any case, so its zone reads from it.
-      m_relays.OnReport(now, m_zone, m_peer_address);
+      m_relays.OnReport(now, m_zone, m_peer_address, m_link_rate);
       return;
     }
     if (!m_has_keys_end || !HasKeyedService()) {
@@ -168,9 +169,9 @@
     const std::string relay_address =
         CanPassRecordsOn() ? m_peer_address : std::string();
     for (KeyLoadReport& report : reports) {
-      m_link.Send(
-          m_state.keys().lead_address,
-          {m_instance, LeadReport{m_zone, relay_address, std::move(report)}});
+      m_link.Send(m_state.keys().lead_address,
+                  {m_instance, LeadReport{m_zone, relay_address,
+                                          std::move(report), m_link_rate}});
     }
     m_watch.OnReportSent();
     if (m_watch.IsLost()) {
@@ -185,17 +186,20 @@
         // Whether this instance is the lead is not known yet.
         return;
       }
-      // A lead that cannot read the log is replaced by an instance that can.
-      if (!m_lead.IsLead(now) || m_draining) {
+      // A lead that cannot read the log is replaced by an instance that can,
+      // and one with a slow link by the sender with a fast one.
+      if (!m_lead.IsLead(now) || m_draining ||
+          RelayPlanner::IsMuchFaster(report->link, m_link_rate)) {
         m_link.Send(sender, {m_instance, LeadNotServing()});
         return;
       }
       if (!report->load.service.empty()) {
         m_lead.OnLoad(now, report->load);
       }
+      const std::string reader = m_relays.OnReport(
+          now, report->zone, report->relay_address, report->link);
       m_link.Send(sender,
-                  {m_instance, LeadServing{m_relays.OnReport(
-                                   now, report->zone, report->relay_address)}});
+                  {m_instance, LeadServing{reader, m_relays.fastest_link()}});
       m_reporters.insert_or_assign(sender, now);
       std::vector<FenceToken> ended = m_lead.EndedMoves();
       if (!ended.empty()) {
@@ -203,7 +207,8 @@
       }
     } else if (const auto* serving =
                    std::get_if<LeadServing>(&message.content)) {
-      m_watch.OnServing(message.from);
+      m_watch.OnServing(message.from, RelayPlanner::IsMuchFaster(
+                                          serving->fastest_link, m_link_rate));
       SetReader(serving->reader);
     } else if (const auto* settled =
                    std::get_if<LeadSettled>(&message.content)) {
@@ -659,6 +664,7 @@
   Feed m_target_feed;
   Feed m_key_feed;
   ZoneName m_zone;
+  LinkRate m_link_rate;
   std::string m_peer_address;
   RelayServer m_relay_server;
   // End of the key topic that the known table reflects.
--- a/src/transport/gateway/gateway_settings.h
+++ b/src/transport/gateway/gateway_settings.h
@@ -20,6 +20,9 @@
   std::string log_address;
   // Retries that all instances may send; see SharedRetryBudget.
   SharedRetryBudget::Limits retries;
+  // Rate of the instance's link, Mbit/s. Faster ones are preferred as the lead
+  // and as readers of the log.
+  LinkRate link = 0;
   // From the request to stop to the end of the process.
   Milliseconds stop_time{6000};
 };
--- a/tests/unit/key_codec_test.cc
+++ b/tests/unit/key_codec_test.cc
@@ -25,13 +25,29 @@
   cr_assert(decoded.value() == MakeTable());
 }
 
-// Guards against keys with two owners, or none, by a record that is wrong.
-Test(key_table_codec, overlap_and_gap_are_refused) {
-  KeyTable table = MakeTable();
-  table.services["catalog"][1].first = 99;
-  cr_assert_not(DecodeKeyTable(EncodeKeyTable(table)).has_value());
-  table.services["catalog"][1].first = 101;
-  cr_assert_not(DecodeKeyTable(EncodeKeyTable(table)).has_value());
+bool IsTable(const std::string& ranges) {
+  return DecodeKeyTable(
+             R"({"lead":"e","lead_address":"x","term":1,"fence":9,)"
+             R"("targets":[["a",1],["b",0]],"services":{"catalog":)" +
+             ranges + "}}")
+      .has_value();
+}
+
+// Guards against keys with two owners, or none, by a record that is wrong: a
+// range ends where the next one begins, so none may begin twice, out of order
+// or behind the last key, and the first one begins at 0.
+Test(key_table_codec, wrong_ranges_are_refused) {
+  cr_assert(IsTable("[[0,0,8],[100,1,9,0]]"));
+  cr_assert_not(IsTable("[[1,0,8]]"));
+  cr_assert_not(IsTable("[[0,0,8],[0,1,9]]"));
+  cr_assert_not(IsTable("[[0,0,8],[200,1,9],[100,0,7]]"));
+  cr_assert_not(IsTable("[[0,0,8],[65536,1,9]]"));
+  cr_assert_not(IsTable("[[0,2,8]]"));
+  cr_assert_not(IsTable("[[0,0,8,2]]"));
+  cr_assert_not(IsTable("[[0,0]]"));
+  cr_assert_not(IsTable("[[0,0,8,1,1]]"));
+  cr_assert_not(IsTable("[[-1,0,8]]"));
+  cr_assert_not(IsTable("[]"));
   cr_assert_not(DecodeKeyTable("{}").has_value());
   cr_assert_not(DecodeKeyTable("").has_value());
 }
@@ -43,7 +59,7 @@
   report.requests_per_key = 2;
   report.targets = {{"a", 3, Milliseconds(450)}};
   const std::string bytes = EncodeLeadMessage(
-      {"entry-2", LeadReport{"zone-1", "127.0.0.1:7001", report}});
+      {"entry-2", LeadReport{"zone-1", "127.0.0.1:7001", report, 200}});
   const auto decoded = DecodeLeadMessage({bytes.data(), bytes.size()});
   cr_assert(decoded.has_value());
   cr_assert(decoded.value().from == "entry-2");
@@ -51,6 +67,7 @@
   cr_assert(content.load == report);
   cr_assert(content.zone == "zone-1");
   cr_assert(content.relay_address == "127.0.0.1:7001");
+  cr_assert_eq(content.link, 200);
 }
 
 Test(lead_message_codec, replaced_survives) {
--- a/tests/unit/lead_watch_test.cc
+++ b/tests/unit/lead_watch_test.cc
@@ -24,13 +24,35 @@
     watch.OnReportSent();
   }
   cr_assert(watch.IsLost());
-  watch.OnServing("entry-2");
+  watch.OnServing("entry-2", false);
   cr_assert(watch.IsLost(),
             "the answer of another instance counts for nothing");
-  watch.OnServing("entry-1");
+  watch.OnServing("entry-1", false);
   cr_assert_not(watch.IsLost());
 }
 
+// Guards against a lead whose link is too slow for the table and the orders,
+// and that is taken for lost again and again.
+Test(lead_watch, instance_with_a_slow_link_lets_others_go_first) {
+  LeadWatch fast(kSeed);
+  LeadWatch slow(kSeed);
+  fast.OnLead("entry-1");
+  slow.OnLead("entry-1");
+  fast.OnServing("entry-1", false);
+  slow.OnServing("entry-1", true);
+  int reports = 0;
+  while (!fast.IsLost()) {
+    fast.OnReportSent();
+    slow.OnReportSent();
+    ++reports;
+  }
+  cr_assert_not(slow.IsLost());
+  for (int i = 0; i < LeadWatch::kSlowLinkReports + 1; ++i) {
+    slow.OnReportSent();
+  }
+  cr_assert(slow.IsLost());
+}
+
 Test(lead_watch, lead_that_stops_is_replaced_at_once) {
   LeadWatch watch(kSeed);
   for (int i = 0; i < LeadWatch::kFirstSpread; ++i) {
--- a/tests/unit/relay_planner_test.cc
+++ b/tests/unit/relay_planner_test.cc
@@ -7,14 +7,15 @@
 
 const MonotonicTime kStart = MonotonicTime(Milliseconds(50000));
 constexpr Milliseconds kReportInterval{400};
+constexpr LinkRate kLink = 10;
 
 Test(relay_planner, reader_stays_while_it_reports) {
   RelayPlanner planner;
   for (int i = 0; i < 10; ++i) {
     const MonotonicTime now = kStart + i * kReportInterval;
-    cr_assert(planner.OnReport(now, "zone-1", "a") == "a");
-    cr_assert(planner.OnReport(now, "zone-1", "b") == "a");
-    cr_assert(planner.OnReport(now, "zone-2", "c") == "c");
+    cr_assert(planner.OnReport(now, "zone-1", "a", kLink) == "a");
+    cr_assert(planner.OnReport(now, "zone-1", "b", kLink) == "a");
+    cr_assert(planner.OnReport(now, "zone-2", "c", kLink) == "c");
   }
 }
 
@@ -22,22 +23,33 @@
 // the log, or stops: each of its instances then goes to the log itself.
 Test(relay_planner, reader_without_new_records_is_replaced) {
   RelayPlanner planner;
-  planner.OnReport(kStart, "zone-1", "a");
+  planner.OnReport(kStart, "zone-1", "a", kLink);
   MonotonicTime now = kStart;
   while (now < kStart + RelayPlanner::kLifetime) {
-    cr_assert(planner.OnReport(now, "zone-1", "") == "a");
+    cr_assert(planner.OnReport(now, "zone-1", "", kLink) == "a");
     now += kReportInterval;
   }
-  cr_assert(planner.OnReport(now, "zone-1", "").empty());
-  cr_assert(planner.OnReport(now, "zone-1", "b") == "b");
-  cr_assert(planner.OnReport(now, "zone-1", "") == "b");
+  cr_assert(planner.OnReport(now, "zone-1", "", kLink).empty());
+  cr_assert(planner.OnReport(now, "zone-1", "b", kLink) == "b");
+  cr_assert(planner.OnReport(now, "zone-1", "", kLink) == "b");
+}
+
+// Guards against records that fill the link of the instance which passes them
+// on to its zone.
+Test(relay_planner, instance_with_a_much_faster_link_becomes_the_reader) {
+  RelayPlanner planner;
+  planner.OnReport(kStart, "zone-1", "a", kLink);
+  cr_assert(planner.OnReport(kStart, "zone-1", "b", kLink + 1) == "a");
+  cr_assert(planner.OnReport(kStart, "zone-1", "c", 20 * kLink) == "c");
+  cr_assert(planner.OnReport(kStart, "zone-1", "a", kLink) == "c");
+  cr_assert_eq(planner.fastest_link(), 20 * kLink);
 }
 
 // Guards against an instance that takes itself for the reader of a zone in
 // which none can read.
 Test(relay_planner, zone_without_new_records_has_no_reader) {
   RelayPlanner planner;
-  cr_assert(planner.OnReport(kStart, "zone-1", "").empty());
+  cr_assert(planner.OnReport(kStart, "zone-1", "", kLink).empty());
 }
 
 }  // namespace
