--- a/src/coordination/relay_planner.h
+++ b/src/coordination/relay_planner.h
@@ -14,8 +14,8 @@
 // all of them. The lead does this for all, from the reports that it gets.
 class RelayPlanner {
  public:
-  // A reader that has not reported for this long is replaced; two reports may be
-  // lost.
+  // A reader that has not reported for this long is replaced; two reports may
+  // be lost.
   static constexpr Milliseconds kLifetime{1000};
 
   // A link that is so many times as fast as another one counts as much faster.
