--- a/src/protocol/key_table_codec.cc
+++ b/src/protocol/key_table_codec.cc
@@ -4,6 +4,7 @@
 #include <boost/outcome/try.hpp>
 #include <map>
 #include <span>
+#include <tuple>
 #include <vector>
 
 namespace snipehall {
@@ -21,7 +22,9 @@
   TargetId id;
   std::int64_t born_ms = 0;
 
-  auto operator<=>(const TargetProcess&) const = default;
+  bool operator<(const TargetProcess& other) const {
+    return std::tie(id, born_ms) < std::tie(other.id, other.born_ms);
+  }
 };
 
 // Gives each process a place in the list of the table.
--- a/tests/unit/key_balancer_test.cc
+++ b/tests/unit/key_balancer_test.cc
@@ -13,6 +13,7 @@
 
 std::vector<KeyCandidate> MakeTargets(int count) {
   std::vector<KeyCandidate> targets;
+  targets.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     targets.push_back({"t" + std::to_string(i), 1, kSlots});
   }
