--- a/src/coordination/key_lead.cc
+++ b/src/coordination/key_lead.cc
@@ -167,10 +167,18 @@
   return result;
 }
 
+const KeyLead::RangeState* KeyLead::FindState(
+    const ServiceName& service,
+    const KeyAssignment& range) const {
+  const auto found = m_ranges.find({service, range.first});
+  return found == m_ranges.end() ? nullptr : &found->second;
+}
+
 bool KeyLead::HasEnded(const ServiceName& service,
                        const KeyAssignment& range) const {
-  const auto state = m_ranges.find({service, range.first});
-  return range.moving() && state != m_ranges.end() && state->second.granted;
+  const RangeState* state =
+      range.moving() ? FindState(service, range) : nullptr;
+  return state != nullptr && state->granted;
 }
 
 std::vector<FenceToken> KeyLead::EndedMoves() const {
@@ -201,11 +209,10 @@
 
 bool KeyLead::IsSettled(const ServiceName& service,
                         const KeyAssignment& range) const {
-  const auto state = m_ranges.find({service, range.first});
-  return !range.moving() && state != m_ranges.end() &&
-         state->second.fence == range.fence &&
-         state->second.last == range.last && state->second.granted &&
-         !state->second.fenced;
+  const RangeState* state =
+      range.moving() ? nullptr : FindState(service, range);
+  return state != nullptr && state->fence == range.fence &&
+         state->last == range.last && state->granted && !state->fenced;
 }
 
 void KeyLead::MergeRanges(KeyTable& next) const {
@@ -231,8 +238,8 @@
   bool changed = false;
   for (auto& [service, ranges] : next.services) {
     for (KeyAssignment& item : ranges) {
-      const auto state = m_ranges.find({service, item.first});
-      if (state != m_ranges.end() && state->second.fenced) {
+      const RangeState* state = FindState(service, item);
+      if (state != nullptr && state->fenced) {
         // The newest table is this lead's, so a greater token is its to give.
         item.fence = ++next.fence;
         changed = true;
--- a/src/coordination/key_lead.h
+++ b/src/coordination/key_lead.h
@@ -215,6 +215,10 @@
                     KeyOrderOutcome outcome);
   // Whether a grant by this lead may last, or be on its way.
   bool IsHeld(MonotonicTime now, std::string_view target) const;
+  // What is known of the range that begins where this one does, or null.
+  const RangeState* FindState(const ServiceName& service,
+                              const KeyAssignment& range) const;
+  // Whether the new owner of a moving range was granted it.
   bool HasEnded(const ServiceName& service, const KeyAssignment& range) const;
   // Notes in the table which moves have ended.
   bool SettleMoves(KeyTable& next) const;
--- a/src/transport/data_service.cc
+++ b/src/transport/data_service.cc
@@ -15,6 +15,7 @@
 
 #include "transport/caller_session.h"
 #include "transport/data_context.h"
+#include "transport/tcp_endpoint.h"
 
 namespace snipehall {
 
@@ -68,7 +69,7 @@
   Impl& operator=(const Impl&) = delete;
 
   Result<void> Listen(const std::string& address) {
-    BOOST_OUTCOME_TRY(const tcp::endpoint endpoint, ParseEndpoint(address));
+    BOOST_OUTCOME_TRY(const tcp::endpoint endpoint, ParseTcpEndpoint(address));
     try {
       m_acceptor.open(endpoint.protocol());
       m_acceptor.set_option(boost::asio::socket_base::reuse_address(true));
--- a/src/transport/gateway/bind_acceptor.h
+++ b/src/transport/gateway/bind_acceptor.h
@@ -5,7 +5,7 @@
 
 #include "state/result.h"
 #include "state/types.h"
-#include "transport/target_pool.h"
+#include "transport/tcp_endpoint.h"
 
 namespace snipehall {
 
@@ -19,7 +19,7 @@
 // Opens, binds and listens at "address:port".
 template <typename Acceptor>
 Result<void> BindAcceptor(Acceptor& acceptor, const std::string& address) {
-  BOOST_OUTCOME_TRY(const auto endpoint, ParseEndpoint(address));
+  BOOST_OUTCOME_TRY(const auto endpoint, ParseTcpEndpoint(address));
   boost::system::error_code error;
   acceptor.open(endpoint.protocol(), error);
   if (!error) {
--- a/src/transport/gateway/lead_link.cc
+++ b/src/transport/gateway/lead_link.cc
@@ -3,7 +3,7 @@
 #include <boost/outcome/try.hpp>
 
 #include "protocol/lead_message_codec.h"
-#include "transport/target_pool.h"
+#include "transport/tcp_endpoint.h"
 
 namespace snipehall {
 
@@ -13,7 +13,7 @@
 using boost::system::error_code;
 
 Result<udp::endpoint> ParseUdpEndpoint(std::string_view address) {
-  BOOST_OUTCOME_TRY(const auto endpoint, ParseEndpoint(address));
+  BOOST_OUTCOME_TRY(const auto endpoint, ParseTcpEndpoint(address));
   return udp::endpoint(endpoint.address(), endpoint.port());
 }
 
--- a/src/transport/target_pool.cc
+++ b/src/transport/target_pool.cc
@@ -1,17 +1,10 @@
 #include "transport/target_pool.h"
 
 #include <algorithm>
-#include <boost/asio/ip/address.hpp>
-#include <charconv>
-#include <cstdint>
 
-namespace snipehall {
-
-namespace {
+#include "transport/tcp_endpoint.h"
 
-using boost::asio::ip::tcp;
-
-}  // namespace
+namespace snipehall {
 
 TargetPool::Lease::~Lease() {
   if (m_pool) {
@@ -91,7 +84,7 @@
   if (found != m_pools.end()) {
     return found->second;
   }
-  const auto endpoint = ParseEndpoint(address);
+  const auto endpoint = ParseTcpEndpoint(address);
   if (!endpoint) {
     return nullptr;
   }
@@ -122,26 +115,4 @@
   return sum;
 }
 
-Result<tcp::endpoint> ParseEndpoint(std::string_view address) {
-  const std::size_t colon = address.rfind(':');
-  std::string_view host = address.substr(0, colon);
-  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
-    host = host.substr(1, host.size() - 2);
-  }
-  const std::string_view port =
-      colon == std::string_view::npos ? "" : address.substr(colon + 1);
-  std::uint16_t number = 0;
-  const auto parsed =
-      std::from_chars(port.data(), port.data() + port.size(), number);
-  boost::system::error_code error;
-  const auto ip = boost::asio::ip::make_address(std::string(host), error);
-  if (error || parsed.ec != std::errc() ||
-      parsed.ptr != port.data() + port.size()) {
-    return Fail(
-        ErrorCode::kInvalidArgument,
-        "expected 'IP-number:port', found '" + std::string(address) + "'");
-  }
-  return tcp::endpoint(ip, number);
-}
-
 }  // namespace snipehall
--- a/src/transport/target_pool.h
+++ b/src/transport/target_pool.h
@@ -7,7 +7,6 @@
 #include <utility>
 #include <vector>
 
-#include "state/result.h"
 #include "transport/asio_types.h"
 #include "transport/byte_stream.h"
 
@@ -92,7 +91,4 @@
   std::map<std::string, std::shared_ptr<TargetPool>, std::less<>> m_pools;
 };
 
-// Reads "IP-number:port"; an IPv6 number stands in brackets.
-Result<boost::asio::ip::tcp::endpoint> ParseEndpoint(std::string_view address);
-
 }  // namespace snipehall
--- a/tests/standins/common/http_server.cc
+++ b/tests/standins/common/http_server.cc
@@ -8,6 +8,8 @@
 #include <charconv>
 #include <utility>
 
+#include "transport/tcp_endpoint.h"
+
 namespace snipehall::standin {
 
 namespace asio = boost::asio;
@@ -23,24 +25,6 @@
 
 }  // namespace
 
-Result<tcp::endpoint> ParseEndpoint(std::string_view text) {
-  const std::size_t colon = std::min(text.rfind(':'), text.size());
-  const std::string_view port_text =
-      text.substr(std::min(colon + 1, text.size()));
-  error_code failure;
-  const auto ip =
-      asio::ip::make_address(std::string(text.substr(0, colon)), failure);
-  std::uint16_t port = 0;
-  const char* end = port_text.data() + port_text.size();
-  const auto parsed = std::from_chars(port_text.data(), end, port);
-  if (failure || parsed.ec != std::errc() || parsed.ptr != end) {
-    return Fail(
-        ErrorCode::kInvalidArgument,
-        "'" + std::string(text) + "' is not of the form IP-number:port");
-  }
-  return tcp::endpoint(ip, port);
-}
-
 HttpResponse JsonAnswer(http::status status, std::string body) {
   HttpResponse response;
   response.result(status);
@@ -165,7 +149,7 @@
     asio::io_context& context,
     const Options& options,
     HttpHandler handler) {
-  const Result<tcp::endpoint> endpoint = ParseEndpoint(options.listen);
+  const Result<tcp::endpoint> endpoint = ParseTcpEndpoint(options.listen);
   if (!endpoint.has_value()) {
     return endpoint.error();
   }
--- a/tests/standins/common/http_server.h
+++ b/tests/standins/common/http_server.h
@@ -30,9 +30,6 @@
 // once or later; until then the connection is read no further.
 using HttpHandler = std::function<void(std::shared_ptr<HttpSession>)>;
 
-// Reads "IP-number:port".
-Result<boost::asio::ip::tcp::endpoint> ParseEndpoint(std::string_view text);
-
 // A response with a JSON body.
 HttpResponse JsonAnswer(boost::beast::http::status status, std::string body);
 // A response of the form {"error": message}.
