--- a/tests/process/gateway_test.cc
+++ b/tests/process/gateway_test.cc
@@ -3,6 +3,8 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <thread>
+#include <vector>
 
 #include "process/support/gateway_cluster.h"
 
@@ -175,6 +177,36 @@
   Require(status && *status == 0, "the gateway did not exit with status 0");
 }
 
+// Guards against a process that crashes when it ends with requests unfinished:
+// the work on it must be destroyed before the state that it refers to.
+Test(gateway, ends_cleanly_with_requests_in_progress) {
+  GatewayCluster cluster({.gateways = 1, .unkeyed_targets = 1});
+  cluster.WaitUntilReady(Clock::now() + seconds(15));
+  for (std::size_t i = 0; i < cluster.targets(); ++i) {
+    cluster.SignalTarget(i, SIGSTOP);
+  }
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 8; ++i) {
+    callers.emplace_back([&cluster, i] {
+      HttpClient client(cluster.address(0));
+      HttpClientRequest request = BookingRequest(i);
+      request.headers["Deadline-Ms"] = "20000";
+      (void)client.Send(request, Clock::now() + seconds(10));
+    });
+  }
+  std::this_thread::sleep_for(milliseconds(300));
+  cluster.Signal(0, SIGTERM);
+  const auto status = cluster.WaitForExit(0, Clock::now() + seconds(10));
+  for (std::size_t i = 0; i < cluster.targets(); ++i) {
+    cluster.SignalTarget(i, SIGCONT);
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  Require(status.has_value(), "the gateway did not exit");
+  Require(*status == 0, "exit status " + std::to_string(*status));
+}
+
 // Guards against key leases that expire while the store is unreachable.
 Test(gateway, serves_requests_during_a_store_outage) {
   GatewayCluster cluster({.gateways = 2});
