Serve pipelined requests concurrently and answer them in order

Cause: a session read one request at a time. While a request waited for its target, the only read had ended with the next request's bytes, so a caller that left was not noticed: the request in progress and those behind it went to targets until their deadlines, and deadlines counted from the end of the request before.

Any other request waits for its turn. A planned stop closes with the response after which nothing is in progress. Unread input no longer turns the close into a reset that discards the last response. An exception ends its request with 502 and an "exception" event.

--- a/src/protocol/gateway_headers.cc
+++ b/src/protocol/gateway_headers.cc
@@ -127,7 +127,6 @@
 void AppendCallerResponse(const http::response_header<>& response,
                           std::uint64_t body_length,
                           bool has_body,
-                          bool keep_alive,
                           std::string& out) {
   AppendStatusLine(response.result_int(), ToStringView(response.reason()), out);
   AppendEndToEndFields(response, out, [has_body](const auto& field) {
@@ -136,6 +135,9 @@
   if (has_body) {
     AppendField("Content-Length", body_length, out);
   }
+}
+
+void AppendHeadEnd(bool keep_alive, std::string& out) {
   if (!keep_alive) {
     AppendField("Connection", "close", out);
   }
@@ -156,10 +158,8 @@
                   std::chrono::duration<double>(retry_after).count());
     AppendField("Retry-After", std::string_view(seconds.data()), out);
   }
-  if (!keep_alive) {
-    AppendField("Connection", "close", out);
-  }
-  out.append("Content-Length: 0\r\n\r\n");
+  AppendField("Content-Length", std::uint64_t{0}, out);
+  AppendHeadEnd(keep_alive, out);
 }
 
 }  // namespace snipehall
--- a/src/protocol/gateway_headers.h
+++ b/src/protocol/gateway_headers.h
@@ -91,15 +91,18 @@
     std::string_view request_id);
 
 // Appends the head of the response to a caller, made from the head of the
-// target's response. `has_body` is false for responses that never have a body,
-// such as those to HEAD; then `body_length` is ignored and the target's
-// Content-Length is copied. If `keep_alive` is false, adds "Connection: close".
+// target's response, but for what AppendHeadEnd() adds. `has_body` is false for
+// responses that never have a body, such as those to HEAD; then `body_length`
+// is ignored and the target's Content-Length is copied.
 void AppendCallerResponse(const boost::beast::http::response_header<>& response,
                           std::uint64_t body_length,
                           bool has_body,
-                          bool keep_alive,
                           std::string& out);
 
+// Ends the head of a response to a caller. If `keep_alive` is false, adds
+// "Connection: close".
+void AppendHeadEnd(bool keep_alive, std::string& out);
+
 // Appends a complete response without a body for a request that the gateway
 // answers itself. `retry_after` is sent as Retry-After in seconds with two
 // decimals; zero sends no such header.
--- a/src/transport/byte_stream.cc
+++ b/src/transport/byte_stream.cc
@@ -65,6 +65,7 @@
       [self = shared_from_this()](error_code error, std::size_t size) {
         self->m_read_pending = false;
         self->m_end += size;
+        self->m_received_bytes += size;
         const bool cancelled = error == boost::asio::error::operation_aborted;
         if (error && !cancelled) {
           self->m_input_error = error;
--- a/src/transport/byte_stream.h
+++ b/src/transport/byte_stream.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string_view>
@@ -33,6 +34,8 @@
   std::string_view data() const {
     return {m_storage.get() + m_begin, m_end - m_begin};
   }
+  // Number of bytes received in all, including those consumed.
+  std::uint64_t received_bytes() const { return m_received_bytes; }
   // Discards up to `size` bytes from the front of data().
   void Consume(std::size_t size);
 
@@ -83,6 +86,7 @@
   std::size_t m_capacity = kInitialCapacityBytes;
   std::size_t m_begin = 0;
   std::size_t m_end = 0;
+  std::uint64_t m_received_bytes = 0;
   bool m_read_pending = false;
   boost::system::error_code m_input_error;
   AsyncEvent m_read_done;
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -74,6 +74,10 @@
     m_context.on_failed_request = [this](const FailedRequest& request) {
       LogFailedRequest(request);
     };
+    m_context.on_exception = [this](std::string_view request_id,
+                                    std::string_view error) {
+      m_log.Write("exception", {{"id", request_id}, {"error", error}});
+    };
     WaitForSignal();
     m_log.Write("start", {{"zone", m_settings.zone}});
     m_server->Start();
--- a/src/transport/gateway/gateway_context.h
+++ b/src/transport/gateway/gateway_context.h
@@ -68,6 +68,9 @@
   // Called with the owner of a key when a connection to it fails.
   std::function<void(std::string_view target)> on_target_unreachable;
   std::function<void(const FailedRequest&)> on_failed_request;
+  // Called when an unexpected exception ended the work on a request.
+  std::function<void(std::string_view request_id, std::string_view error)>
+      on_exception;
   // The instance is shutting down: each connection is closed after its next
   // response.
   bool draining = false;
--- a/src/transport/gateway/gateway_request.cc
+++ b/src/transport/gateway/gateway_request.cc
@@ -4,9 +4,8 @@
 
 namespace snipehall {
 
-GatewayRequest::GatewayRequest(const Executor& executor, ByteStream& caller)
+GatewayRequest::GatewayRequest(const Executor& executor)
     : event(executor),
-      m_caller(caller),
       m_timer(
           std::make_shared<DeadlineTimer>(executor, [this] { OnExpiry(); })) {}
 
@@ -14,21 +13,6 @@
   m_timer->Close();
 }
 
-void GatewayRequest::Reset() {
-  parser.reset();
-  info = {};
-  body.clear();
-  body.shrink_to_fit();
-  policy.reset();
-  route = nullptr;
-  deadline = MonotonicTime::max();
-  keep_alive = true;
-  m_deadline_passed = false;
-  m_caller_disconnected = false;
-  m_step_expired = false;
-  m_timer->Disarm();
-}
-
 void GatewayRequest::SetStepDeadline(MonotonicTime limit) {
   m_step_expired = false;
   m_timer->Arm(std::min(limit, deadline));
@@ -58,7 +42,6 @@
 }
 
 void GatewayRequest::CancelWait() {
-  m_caller.Cancel();
   if (target_stream != nullptr) {
     target_stream->Cancel();
   }
--- a/src/transport/gateway/gateway_request.h
+++ b/src/transport/gateway/gateway_request.h
@@ -21,17 +21,14 @@
  public:
   using Parser = boost::beast::http::request_parser<ViewBody>;
 
-  GatewayRequest(const Executor& executor, ByteStream& caller);
+  explicit GatewayRequest(const Executor& executor);
   ~GatewayRequest();
   GatewayRequest(const GatewayRequest&) = delete;
   GatewayRequest& operator=(const GatewayRequest&) = delete;
 
-  // Clears all state for the next request on the connection.
-  void Reset();
-
   // Cancels the current wait at `limit` or at the request's deadline, whichever
   // is earlier; step_expired() and deadline_passed() tell which. A step is one
-  // phase of a request, such as reading its head.
+  // phase of a request, such as connecting to a target.
   void SetStepDeadline(MonotonicTime limit);
   // Ends the step: only the request's deadline remains in force.
   void ClearStepDeadline();
@@ -58,7 +55,7 @@
   // Arrival of the first byte.
   MonotonicTime received_at;
   // Earlier of the caller's own deadline and the route's timeout.
-  MonotonicTime deadline;
+  MonotonicTime deadline = MonotonicTime::max();
   bool keep_alive = true;
 
   // Notified when the wait is cancelled.
@@ -70,7 +67,6 @@
   void OnExpiry();
   void CancelWait();
 
-  ByteStream& m_caller;
   std::shared_ptr<DeadlineTimer> m_timer;
   bool m_deadline_passed = false;
   bool m_caller_disconnected = false;
--- a/src/transport/gateway/gateway_router.cc
+++ b/src/transport/gateway/gateway_router.cc
@@ -245,7 +245,6 @@
   m_outcome.verdict = Verdict::kRan;
   m_outcome.cause = "answered";
   AppendCallerResponse(exchange.response(), exchange.body().size(), has_body,
-                       m_request.keep_alive && !m_context.draining,
                        m_outcome.head);
   m_outcome.body = exchange.body();
   return Action::kFinish;
--- a/src/transport/gateway/gateway_router.h
+++ b/src/transport/gateway/gateway_router.h
@@ -18,8 +18,8 @@
   std::string_view cause;
   // Value of Retry-After; zero when the response is final and has none.
   Milliseconds retry_after{0};
-  // Head and body of a target's response; empty when the gateway itself
-  // generates the response.
+  // Head, without its end, and body of a target's response; empty when the
+  // gateway itself generates the response.
   std::string head;
   std::string body;
 };
--- a/src/transport/gateway/gateway_server.cc
+++ b/src/transport/gateway/gateway_server.cc
@@ -51,6 +51,11 @@
                         boost::asio::detached);
 }
 
+std::string GatewayServer::caller_address() const {
+  const auto endpoint = m_caller_acceptor.local_endpoint();
+  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
 Task<void> GatewayServer::AcceptCallers() {
   Timer pause(m_context.executor);
   while (m_caller_acceptor.is_open()) {
--- a/src/transport/gateway/gateway_server.h
+++ b/src/transport/gateway/gateway_server.h
@@ -27,6 +27,10 @@
   // Starts to accept connections on both listeners.
   void Start();
 
+  // "address:port" on which callers are accepted; differs from the settings
+  // when these leave the choice of the port to the system.
+  std::string caller_address() const;
+
   // Starts the shutdown: each connection is closed after its next response. New
   // connections are still accepted, because the load balancer takes a while to
   // notice.
--- a/src/transport/gateway/gateway_session.cc
+++ b/src/transport/gateway/gateway_session.cc
@@ -1,6 +1,9 @@
 #include "transport/gateway/gateway_session.h"
 
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <exception>
 
 #include "protocol/end_to_end_headers.h"
 #include "protocol/http_head_checks.h"
@@ -16,6 +19,8 @@
 constexpr Milliseconds kWriteTimeout{5000};
 // Time limit for each read of a request's body.
 constexpr Milliseconds kBodyReadTimeout{5000};
+// Time that a caller has to close the connection after its last response.
+constexpr Milliseconds kCloseTimeout{1000};
 // Retry-After while the instance has no configuration.
 constexpr Milliseconds kNotReadyRetryAfter{300};
 constexpr std::string_view kContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -40,18 +45,33 @@
 GatewaySession::GatewaySession(GatewayContext& context, Socket socket)
     : m_context(context),
       m_stream(std::make_shared<ByteStream>(std::move(socket))),
-      m_request(context.executor, *m_stream) {
+      m_event(context.executor),
+      m_read_timer(
+          std::make_shared<DeadlineTimer>(context.executor,
+                                          [this] {
+                                            m_read_expired = true;
+                                            if (m_cancel_expired_read) {
+                                              m_stream->Cancel();
+                                            }
+                                            m_event.Notify();
+                                          })),
+      m_write_timer(
+          std::make_shared<DeadlineTimer>(context.executor,
+                                          [this] { m_stream->Cancel(); })),
+      m_idle_since(Now()) {
   m_context.sessions.insert(this);
 }
 
 GatewaySession::~GatewaySession() {
+  m_read_timer->Close();
+  m_write_timer->Close();
   m_stream->Close();
   m_context.sessions.erase(this);
 }
 
 void GatewaySession::CloseIfIdle() {
-  if (!m_busy && !m_stream->HasUnreadInput()) {
-    m_request.OnCallerDisconnected();
+  if (!busy() && !m_stream->HasUnreadInput()) {
+    End();
   }
 }
 
@@ -63,87 +83,184 @@
 Task<void> GatewaySession::Run() {
   const auto self = shared_from_this();
   m_stream->set_on_input([this] {
-    if (m_watching_caller && m_stream->input_error()) {
-      m_request.OnCallerDisconnected();
+    if (m_stream->input_error()) {
+      End();
     }
+    RecordArrival();
+    m_event.Notify();
   });
   bool open = true;
   while (open) {
-    m_request.Reset();
     open = co_await ReadRequest();
-    if (open) {
-      const bool found = co_await FindRoute();
-      if (found) {
-        co_await Serve();
-      }
-      m_busy = false;
-      open = m_request.keep_alive && !m_request.caller_disconnected();
-    }
   }
-  m_busy = false;
+  m_receiving = false;
+  m_read_timer->Disarm();
+  while (!m_pipeline.empty()) {
+    co_await WaitForEvent();
+  }
+  if (m_close_announced) {
+    co_await CloseGracefully();
+  }
   m_stream->Close();
 }
 
+void GatewaySession::End() {
+  m_ended = true;
+  const auto pipeline = m_pipeline;
+  for (const std::shared_ptr<Exchange>& exchange : pipeline) {
+    exchange->request.OnCallerDisconnected();
+  }
+  m_event.Notify();
+}
+
+void GatewaySession::RecordArrival() {
+  const std::uint64_t first_unread =
+      m_stream->received_bytes() - m_stream->data().size();
+  while (!m_arrivals.empty() && m_arrivals.front().first <= first_unread) {
+    m_arrivals.pop_front();
+  }
+  m_arrivals.emplace_back(m_stream->received_bytes(), Now());
+}
+
+MonotonicTime GatewaySession::UnreadSince() {
+  const std::uint64_t first_unread =
+      m_stream->received_bytes() - m_stream->data().size();
+  while (m_arrivals.size() > 1 && m_arrivals.front().first <= first_unread) {
+    m_arrivals.pop_front();
+  }
+  return m_arrivals.empty() ? Now() : m_arrivals.front().second;
+}
+
+Task<void> GatewaySession::WaitForEvent() {
+  m_stream->StartRead();
+  if (!m_ended && m_stream->input_error()) {
+    End();
+    co_return;
+  }
+  co_await m_event.Wait();
+}
+
+Task<bool> GatewaySession::WaitForRoom() {
+  while (!ending() && !m_pipeline.empty() &&
+         (m_context.draining ||
+          m_pipeline.size() >= std::size_t{kMaxPipelinedRequests})) {
+    co_await WaitForEvent();
+  }
+  co_return !ending();
+}
+
+Task<bool> GatewaySession::WaitForTurn() {
+  while (!ending() && !m_pipeline.empty()) {
+    co_await WaitForEvent();
+  }
+  co_return !ending();
+}
+
 Task<bool> GatewaySession::ReadRequest() {
-  bool complete = co_await ReadHead();
-  if (complete) {
-    complete = co_await ReadBody();
+  const bool has_room = co_await WaitForRoom();
+  if (!has_room) {
+    co_return false;
+  }
+  const auto exchange = std::make_shared<Exchange>(m_context.executor);
+  GatewayRequest& request = exchange->request;
+  bool complete = co_await ReadHead(*exchange);
+  if (!complete && !exchange->complete) {
+    co_return false;
+  }
+  bool served = complete && FindRoute(*exchange);
+  const bool may_overlap =
+      complete && request.parser->is_done() &&
+      (request.route == nullptr || request.route->idempotent);
+  if (complete && !may_overlap) {
+    const bool has_turn = co_await WaitForTurn();
+    if (!has_turn) {
+      co_return false;
+    }
+    complete = co_await ReadBody(*exchange);
+    served = served && complete;
+    if (!complete && !exchange->complete) {
+      co_return false;
+    }
+  }
+  m_receiving = false;
+  m_read_timer->Disarm();
+  if (ending()) {
+    co_return false;
   }
-  co_return complete;
+  const bool keep_alive = request.keep_alive;
+  m_pipeline.push_back(exchange);
+  if (served) {
+    boost::asio::co_spawn(
+        m_context.executor,
+        [self = shared_from_this(), exchange] { return self->Serve(exchange); },
+        boost::asio::detached);
+  } else {
+    exchange->complete = true;
+    m_context.metrics.RecordRequest("none", exchange->outcome.cause, 0);
+    co_await WriteResponses();
+  }
+  if (keep_alive && !may_overlap) {
+    const bool answered = co_await WaitForTurn();
+    co_return answered;
+  }
+  co_return keep_alive && !ending();
 }
 
-Task<bool> GatewaySession::ReadHead() {
+Task<bool> GatewaySession::ReadHead(Exchange& exchange) {
   if (m_stream->data().empty()) {
     m_stream->ShrinkIfIdle();
   }
   const RequestLimits bounds = limits();
-  m_request.SetStepDeadline(Now() + bounds.idle_timeout);
-  for (;;) {
+  const std::size_t max_size =
+      std::min(bounds.max_head_bytes, ByteStream::kMaxCapacityBytes);
+  m_read_expired = false;
+  while (!ending()) {
     const std::string_view input = m_stream->data();
-    if (!input.empty() && !m_busy) {
-      m_busy = true;
-      m_request.received_at = Now();
-      m_request.SetStepDeadline(m_request.received_at + bounds.head_timeout);
+    if (!input.empty() && !m_receiving) {
+      m_receiving = true;
+      exchange.request.received_at = UnreadSince();
     }
-    const std::size_t size =
-        FindHeadEnd(input.substr(0, bounds.max_head_bytes));
+    const std::size_t size = FindHeadEnd(input.substr(0, max_size));
     if (size > 0) {
-      m_request.ClearStepDeadline();
-      if (ParseHead(size)) {
+      if (ParseHead(exchange.request, size)) {
         co_return true;
       }
-      co_await Reject(400, "malformed head");
-      co_return false;
+      co_return Reject(exchange, 400, "malformed head");
     }
     if (!CheckHeadBytes(input)) {
-      co_await Reject(400, "malformed head");
-      co_return false;
+      co_return Reject(exchange, 400, "malformed head");
     }
-    if (input.size() >= bounds.max_head_bytes) {
-      co_await Reject(431, "head too large");
-      co_return false;
+    if (input.size() >= max_size) {
+      co_return Reject(exchange, 431, "head too large");
     }
-    if (!m_request.wait_cancelled()) {
-      const error_code error = co_await m_stream->Fill();
-      if (!error || (error == boost::asio::error::operation_aborted &&
-                     !m_request.wait_cancelled())) {
-        continue;
+    if (m_read_expired) {
+      if (m_receiving) {
+        co_return Reject(exchange, 408, "head took too long");
+      }
+      if (m_pipeline.empty()) {
+        co_return false;
       }
     }
-    if (m_busy && m_request.step_expired()) {
-      co_await Reject(408, "head took too long");
+    m_read_expired = false;
+    if (m_receiving) {
+      m_read_timer->Arm(exchange.request.received_at + bounds.head_timeout);
+    } else if (m_pipeline.empty()) {
+      m_read_timer->Arm(m_idle_since + bounds.idle_timeout);
+    } else {
+      m_read_timer->Disarm();
     }
-    co_return false;
+    co_await WaitForEvent();
   }
+  co_return false;
 }
 
-bool GatewaySession::ParseHead(std::size_t size) {
+bool GatewaySession::ParseHead(GatewayRequest& request, std::size_t size) {
   const std::string_view head = m_stream->data().substr(0, size);
   if (!CheckHeadBytes(head)) {
     return false;
   }
-  m_request.parser.emplace();
-  GatewayRequest::Parser& parser = *m_request.parser;
+  request.parser.emplace();
+  GatewayRequest::Parser& parser = *request.parser;
   parser.header_limit(static_cast<std::uint32_t>(size));
   parser.body_limit(boost::none);
   error_code error;
@@ -158,17 +275,17 @@
   if (!info) {
     return false;
   }
-  m_request.info = info.value();
-  m_request.keep_alive = parser.get().keep_alive();
+  request.info = info.value();
+  request.keep_alive = parser.get().keep_alive();
   return true;
 }
 
-Task<bool> GatewaySession::ReadBody() {
-  GatewayRequest::Parser& parser = *m_request.parser;
+Task<bool> GatewaySession::ReadBody(Exchange& exchange) {
+  GatewayRequest& request = exchange.request;
+  GatewayRequest::Parser& parser = *request.parser;
   const std::uint64_t limit = limits().max_body_bytes;
   if (parser.content_length().value_or(0) > limit) {
-    co_await Reject(413, "body too large");
-    co_return false;
+    co_return Reject(exchange, 413, "body too large");
   }
   if (!parser.is_done() && parser.get().count(http::field::expect) > 0) {
     std::size_t ignored = 0;
@@ -176,125 +293,166 @@
         {boost::asio::buffer(kContinueResponse), {}, {}, {}}, ignored);
   }
   if (const auto length = parser.content_length()) {
-    m_request.body.reserve(static_cast<std::size_t>(*length));
+    request.body.reserve(static_cast<std::size_t>(*length));
   }
-  while (!parser.is_done()) {
-    m_request.SetStepDeadline(Now() + kBodyReadTimeout);
+  m_cancel_expired_read = true;
+  error_code error;
+  while (!error && !parser.is_done() && request.body.size() <= limit) {
+    m_read_expired = false;
+    m_read_timer->Arm(Now() + kBodyReadTimeout);
     BodyFragment piece;
-    const error_code error =
-        co_await ReadBodyFragment(*m_stream, parser, piece);
-    if (error) {
-      if (m_request.step_expired()) {
-        co_await Reject(408, "body took too long");
-      } else if (IsParserError(error)) {
-        co_await Reject(400, "malformed body");
-      }
-      co_return false;
-    }
-    m_request.body.append(piece.bytes);
-    m_stream->Consume(piece.consumed);
-    if (m_request.body.size() > limit) {
-      co_await Reject(413, "body too large");
-      co_return false;
+    error = co_await ReadBodyFragment(*m_stream, parser, piece);
+    if (!error) {
+      request.body.append(piece.bytes);
+      m_stream->Consume(piece.consumed);
     }
   }
-  m_request.ClearStepDeadline();
-  co_return true;
+  m_cancel_expired_read = false;
+  if (request.body.size() > limit) {
+    co_return Reject(exchange, 413, "body too large");
+  }
+  if (error && m_read_expired) {
+    co_return Reject(exchange, 408, "body took too long");
+  }
+  if (error && IsParserError(error)) {
+    co_return Reject(exchange, 400, "malformed body");
+  }
+  co_return !error;
 }
 
-Task<bool> GatewaySession::FindRoute() {
-  m_request.policy = m_context.state.policy();
-  if (!m_request.policy) {
-    GatewayOutcome outcome;
+bool GatewaySession::FindRoute(Exchange& exchange) {
+  GatewayRequest& request = exchange.request;
+  GatewayOutcome& outcome = exchange.outcome;
+  request.policy = m_context.state.policy();
+  if (!request.policy) {
     outcome.status = 503;
     outcome.cause = "no configuration yet";
     outcome.retry_after = kNotReadyRetryAfter;
-    m_request.keep_alive = false;
-    co_await WriteResponse(outcome);
-    co_return false;
+    request.keep_alive = false;
+    return false;
   }
-  const auto& head = m_request.parser->get();
-  m_request.route = m_request.policy->FindRoute(
+  const auto& head = request.parser->get();
+  request.route = request.policy->FindRoute(
       StripPort(ToStringView(head[http::field::host])),
       ToStringView(head.target()));
-  if (m_request.route == nullptr) {
-    GatewayOutcome outcome;
+  if (request.route == nullptr) {
     outcome.status = 404;
     outcome.cause = "no route";
-    m_context.metrics.RecordRequest("none", outcome.cause, 0);
-    co_await WriteResponse(outcome);
-    co_return false;
+    return false;
   }
-  m_request.deadline =
-      m_request.received_at +
-      std::min(m_request.route->timeout,
-               m_request.info.time_left.value_or(m_request.route->timeout));
-  m_request.ClearStepDeadline();
-  co_return true;
+  request.deadline =
+      request.received_at +
+      std::min(request.route->timeout,
+               request.info.time_left.value_or(request.route->timeout));
+  return true;
 }
 
-Task<void> GatewaySession::Serve() {
-  m_watching_caller = true;
-  m_stream->StartRead();
-  if (m_stream->input_error()) {
-    m_request.OnCallerDisconnected();
-  }
-  GatewayRouter router(m_context, m_request);
-  const GatewayOutcome outcome = co_await router.Serve();
-  m_watching_caller = false;
-  RecordOutcome(router, outcome);
-  if (outcome.status == 0) {
-    m_request.keep_alive = false;
-    co_return;
+bool GatewaySession::Reject(Exchange& exchange,
+                            int status,
+                            std::string_view cause) {
+  exchange.request.keep_alive = false;
+  exchange.outcome = {};
+  exchange.outcome.status = status;
+  exchange.outcome.cause = cause;
+  exchange.complete = true;
+  return false;
+}
+
+Task<void> GatewaySession::Serve(std::shared_ptr<Exchange> exchange) {
+  GatewayRequest& request = exchange->request;
+  request.ClearStepDeadline();
+  GatewayRouter router(m_context, request);
+  try {
+    exchange->outcome = co_await router.Serve();
+  } catch (const std::exception& error) {
+    // The request alone fails; whether a target has run it is not known.
+    if (m_context.on_exception) {
+      m_context.on_exception(request.info.request_id, error.what());
+    }
+    request.target_stream = nullptr;
+    exchange->outcome = {};
+    exchange->outcome.status = 502;
+    exchange->outcome.verdict = Verdict::kMayHaveRun;
+    exchange->outcome.cause = "internal error";
   }
-  co_await WriteResponse(outcome);
+  RecordOutcome(router, *exchange);
+  exchange->complete = true;
+  co_await WriteResponses();
 }
 
 void GatewaySession::RecordOutcome(const GatewayRouter& router,
-                                   const GatewayOutcome& outcome) {
+                                   const Exchange& exchange) {
+  const GatewayRequest& request = exchange.request;
+  const GatewayOutcome& outcome = exchange.outcome;
   const double seconds =
-      std::chrono::duration<double>(Now() - m_request.received_at).count();
-  m_context.metrics.RecordRequest(m_request.route->name, outcome.cause,
-                                  seconds);
+      std::chrono::duration<double>(Now() - request.received_at).count();
+  m_context.metrics.RecordRequest(request.route->name, outcome.cause, seconds);
   if (outcome.verdict != Verdict::kRan && m_context.on_failed_request) {
     m_context.on_failed_request(
-        {m_request.info.request_id, m_request.route->name, router.target(),
+        {request.info.request_id, request.route->name, router.target(),
          outcome.cause, outcome.status, router.attempts(),
-         static_cast<int>(seconds * 1000), m_request.policy->version(),
-         router.target_load(), m_request.info.key});
+         static_cast<int>(seconds * 1000), request.policy->version(),
+         router.target_load(), request.info.key});
   }
 }
 
-Task<void> GatewaySession::Reject(int status, std::string_view cause) {
-  m_request.keep_alive = false;
-  m_context.metrics.RecordRequest("none", cause, 0);
-  GatewayOutcome outcome;
-  outcome.status = status;
-  outcome.cause = cause;
-  co_await WriteResponse(outcome);
+Task<void> GatewaySession::WriteResponses() {
+  if (m_writing) {
+    co_return;
+  }
+  m_writing = true;
+  while (!m_pipeline.empty() && m_pipeline.front()->complete) {
+    const std::shared_ptr<Exchange> exchange = m_pipeline.front();
+    bool sent = false;
+    if (!m_ended && exchange->outcome.status != 0) {
+      sent = co_await WriteResponse(*exchange);
+    }
+    m_pipeline.pop_front();
+    if (!sent || !exchange->request.keep_alive) {
+      End();
+    }
+  }
+  m_writing = false;
+  m_idle_since = Now();
+  m_event.Notify();
 }
 
-Task<void> GatewaySession::WriteResponse(const GatewayOutcome& outcome) {
-  if (m_context.draining) {
-    m_request.keep_alive = false;
+Task<bool> GatewaySession::WriteResponse(Exchange& exchange) {
+  const GatewayOutcome& outcome = exchange.outcome;
+  // While the instance is shutting down, the last request in progress closes
+  // the connection; those behind it have not been started.
+  if (m_context.draining && m_pipeline.size() == 1) {
+    exchange.request.keep_alive = false;
   }
-  std::string generated_head;
+  const bool keep_alive = exchange.request.keep_alive;
+  std::string head;
   if (outcome.head.empty()) {
-    AppendLocalResponse(outcome.status, outcome.retry_after,
-                        m_request.keep_alive, generated_head);
+    AppendLocalResponse(outcome.status, outcome.retry_after, keep_alive, head);
+  } else {
+    head = outcome.head;
+    AppendHeadEnd(keep_alive, head);
   }
-  const std::string& head =
-      outcome.head.empty() ? generated_head : outcome.head;
-  m_request.deadline = MonotonicTime::max();
-  m_request.SetStepDeadline(Now() + kWriteTimeout);
+  m_close_announced = !keep_alive;
+  m_write_timer->Arm(Now() + kWriteTimeout);
   std::size_t written = 0;
   const error_code error = co_await m_stream->Write(
       {boost::asio::buffer(head), boost::asio::buffer(outcome.body), {}, {}},
       written);
-  m_request.ClearStepDeadline();
-  if (error) {
-    m_request.keep_alive = false;
+  m_write_timer->Disarm();
+  co_return !error;
+}
+
+Task<void> GatewaySession::CloseGracefully() {
+  m_stream->ShutdownSend();
+  m_read_expired = false;
+  m_cancel_expired_read = true;
+  m_read_timer->Arm(Now() + kCloseTimeout);
+  error_code error;
+  while (!error && !m_read_expired) {
+    m_stream->Consume(m_stream->data().size());
+    error = co_await m_stream->Fill();
   }
+  m_read_timer->Disarm();
 }
 
 }  // namespace snipehall
