Answer connections of the backlog, and new ones, at a planned stop

Cause: closing the listener makes the kernel reset the connections that wait to be accepted, although their callers have connected and sent requests. A connection without a request was closed at once, also one just opened whose first request was on its way, and the process ended then.

Change: the backlog is accepted before the listener is closed; a connection is idle at a stop only after 200 ms without a request; the process waits for connections that are still open, up to the shutdown limit as before.

Tests: gateway_shutdown_test, 200 callers connect while the process is busy.

--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -174,7 +174,7 @@
     if (Now() >= m_accept_until) {
       m_server->CloseCallerListener();
       m_server->CloseIdle();
-      if (m_server->active_requests() == 0 || Now() >= m_stop_deadline) {
+      if (!m_server->has_open_sessions() || Now() >= m_stop_deadline) {
         m_log.Write("stopped",
                     {{"busy", std::to_string(m_server->active_requests())}});
         m_server->Stop();
--- a/src/transport/gateway/gateway_server.cc
+++ b/src/transport/gateway/gateway_server.cc
@@ -1,5 +1,6 @@
 #include "transport/gateway/gateway_server.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/outcome/try.hpp>
@@ -63,11 +64,7 @@
     const auto [error] =
         co_await m_caller_acceptor.async_accept(socket, kAsTuple);
     if (!error) {
-      auto session =
-          std::make_shared<GatewaySession>(m_context, std::move(socket));
-      boost::asio::co_spawn(
-          m_context.executor, [session] { return session->Run(); },
-          boost::asio::detached);
+      StartSession(std::move(socket));
     } else if (m_caller_acceptor.is_open()) {
       pause.expires_after(kAcceptRetryDelay);
       co_await pause.async_wait(kAsTuple);
@@ -75,6 +72,13 @@
   }
 }
 
+void GatewayServer::StartSession(Socket socket) {
+  auto session = std::make_shared<GatewaySession>(m_context, std::move(socket));
+  boost::asio::co_spawn(
+      m_context.executor, [session] { return session->Run(); },
+      boost::asio::detached);
+}
+
 Task<void> GatewayServer::AcceptStatusConnections() {
   Timer pause(m_context.executor);
   while (m_status_acceptor.is_open()) {
@@ -137,8 +141,21 @@
 }
 
 void GatewayServer::CloseCallerListener() {
-  error_code ignored;
-  m_caller_acceptor.close(ignored);
+  if (!m_caller_acceptor.is_open()) {
+    return;
+  }
+  // The kernel resets connections that wait to be accepted when the listener is
+  // closed.
+  error_code error;
+  m_caller_acceptor.non_blocking(true, error);
+  while (!error) {
+    Socket socket(m_context.executor);
+    m_caller_acceptor.accept(socket, error);
+    if (!error) {
+      StartSession(std::move(socket));
+    }
+  }
+  m_caller_acceptor.close(error);
 }
 
 void GatewayServer::CloseIdle() {
@@ -157,6 +174,12 @@
   return count;
 }
 
+bool GatewayServer::has_open_sessions() const {
+  return std::any_of(
+      m_context.sessions.begin(), m_context.sessions.end(),
+      [](const GatewaySession* session) { return session->open(); });
+}
+
 void GatewayServer::Stop() {
   CloseCallerListener();
   error_code ignored;
--- a/src/transport/gateway/gateway_server.h
+++ b/src/transport/gateway/gateway_server.h
@@ -36,13 +36,17 @@
   // notice.
   void BeginDrain() { m_context.draining = true; }
 
-  // Stops accepting callers; the status listener stays open.
+  // Stops accepting callers, after those that have connected already; the
+  // status listener stays open.
   void CloseCallerListener();
   // Closes callers' connections without a request in progress.
   void CloseIdle();
 
   // Number of requests in progress.
   int active_requests() const;
+  // Whether callers' connections are open on which requests may still arrive or
+  // are in progress.
+  bool has_open_sessions() const;
 
   // Closes both listeners and idle connections to targets. Call it last.
   void Stop();
@@ -56,6 +60,7 @@
                 std::function<void()> update_metrics);
 
   Task<void> AcceptCallers();
+  void StartSession(Socket socket);
   Task<void> AcceptStatusConnections();
   Task<void> ServeStatus(Socket socket);
   // Body for /metrics and /keys; empty for a readiness check.
--- a/src/transport/gateway/gateway_session.cc
+++ b/src/transport/gateway/gateway_session.cc
@@ -21,6 +21,9 @@
 constexpr Milliseconds kBodyReadTimeout{5000};
 // Time that a caller has to close the connection after its last response.
 constexpr Milliseconds kCloseTimeout{1000};
+// Minimum time for which a connection has been idle, or open without a request,
+// when it is closed at shutdown.
+constexpr Milliseconds kShutdownIdleTime{200};
 // Retry-After while the instance has no configuration.
 constexpr Milliseconds kNotReadyRetryAfter{300};
 constexpr std::string_view kContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -70,7 +73,8 @@
 }
 
 void GatewaySession::CloseIfIdle() {
-  if (!busy() && !m_stream->HasUnreadInput()) {
+  if (!busy() && !m_stream->HasUnreadInput() &&
+      Now() - m_idle_since >= kShutdownIdleTime) {
     End();
   }
 }
--- a/src/transport/gateway/gateway_session.h
+++ b/src/transport/gateway/gateway_session.h
@@ -33,7 +33,10 @@
 
   // Whether a request has begun to arrive and is not answered yet.
   bool busy() const { return m_receiving || !m_pipeline.empty(); }
-  // Closes the connection unless a request is in progress or has arrived. For
+  // Whether more requests may be read or responses have to be sent.
+  bool open() const { return busy() || !(m_ended || m_close_announced); }
+  // Closes the connection unless a request is in progress or has arrived, or
+  // the connection is so new that its first request may be on its way. For
   // shutdown.
   void CloseIfIdle();
 
