--- /dev/null
+++ b/tests/process/target_order_client_test.cc
@@ -0,0 +1,74 @@
+#include "platform/target_order_client.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/use_future.hpp>
+#include <chrono>
+#include <string>
+#include <thread>
+
+#include "unit/support/fake_target.h"
+
+#include <criterion/criterion.h>
+
+namespace snipehall::platform {
+namespace {
+
+using std::chrono::milliseconds;
+using test::FakeTarget;
+using test::HeaderOf;
+using test::RawSocket;
+
+constexpr const char* kOk = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
+KeyOrderResult Send(boost::asio::io_context& io,
+                    TargetOrderClient& client,
+                    KeyOrder::Kind kind) {
+  KeyOrder order;
+  order.kind = kind;
+  order.target = "target";
+  order.fencing_token = 1;
+  auto result = boost::asio::co_spawn(
+      io,
+      client.Send(order, std::chrono::steady_clock::now() + milliseconds(500)),
+      boost::asio::use_future);
+  io.restart();
+  io.run();
+  return result.get();
+}
+
+// The second copy of a grant's response arrives when the connection is in use
+// for a release, which the target has not carried out. Taken for its response,
+// it would let another target get the keys.
+Test(target_order_client, late_copy_of_a_response_does_not_complete_a_release) {
+  FakeTarget target([](RawSocket& connection, const std::string& head) {
+    connection.ReadExactly(static_cast<std::size_t>(
+        std::atoi(HeaderOf(head, "Content-Length").c_str())));
+    if (head.starts_with("POST /-/grant")) {
+      connection.Send(kOk);
+      // The copy follows once the client has begun to wait for its next
+      // response, if that is on this connection.
+      const std::string next = connection.ReadThrough("\r\n\r\n");
+      if (!next.empty()) {
+        connection.Send(kOk);
+        std::this_thread::sleep_for(milliseconds(700));
+      }
+      return false;
+    }
+    // The requests in progress at the target do not finish in time.
+    std::this_thread::sleep_for(milliseconds(700));
+    return false;
+  });
+  boost::asio::io_context io;
+  TargetOrderClient client(io.get_executor(), target.address());
+  const KeyOrderResult granted = Send(io, client, KeyOrder::Kind::kGrant);
+  cr_assert(granted.outcome == KeyOrderOutcome::kDone);
+  const KeyOrderResult released = Send(io, client, KeyOrder::Kind::kRelease);
+  cr_assert(released.outcome == KeyOrderOutcome::kUnknown,
+            "the release counts as %s",
+            std::string(ToString(released.outcome)).c_str());
+  client.Close();
+}
+
+}  // namespace
+}  // namespace snipehall::platform
