Recognize late copies of refusals, and cut off responses without end

Cause of the first: a response with the not-run mark was taken for the response to the request in progress whatever its ID. The same copy after a retry of the same request has the same ID, so a retry takes another connection. Requests without an ID get a connection of their own.

At a limit the connection is closed, the target counts as failed, and the request's verdict is that it may have run.

Both changes touch the same functions of TargetExchange and GatewayRouter, so they come in one commit.

--- a/src/protocol/gateway_headers.cc
+++ b/src/protocol/gateway_headers.cc
@@ -114,6 +114,7 @@
                                        const GatewayHeaderNames& names,
                                        std::string_view request_id) {
   TargetResponseInfo info;
+  info.has_request_id = response.count(ToBeastView(names.request_id)) > 0;
   info.request_id_matches =
       ToStringView(response[ToBeastView(names.request_id)]) == request_id;
   info.has_signature = response.count(ToBeastView(names.signature)) > 0;
--- a/src/protocol/gateway_headers.h
+++ b/src/protocol/gateway_headers.h
@@ -70,6 +70,8 @@
 
 // Values from the head of a target's response.
 struct TargetResponseInfo {
+  // The response has a request ID.
+  bool has_request_id = false;
   // The response has the request ID of the request.
   bool request_id_matches = false;
   // The response has a signature header; its value is not checked.
--- a/src/transport/gateway/gateway_context.h
+++ b/src/transport/gateway/gateway_context.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "coordination/buffer_budget.h"
 #include "coordination/key_load_recorder.h"
 #include "protocol/gateway_headers.h"
 #include "transport/gateway/gateway_metrics.h"
@@ -53,7 +54,8 @@
         state(routing_state),
         metrics(gateway_metrics),
         services(routing_state, settings.zone, settings.retry_limits, seed),
-        split(seed) {}
+        split(seed),
+        response_buffers(settings.response_buffer_bytes) {}
 
   Executor executor;
   GatewayHeaderNames names;
@@ -63,6 +65,8 @@
   ServiceSplit split;
   TargetPools pools;
   KeyLoadRecorder key_loads;
+  // Memory for the bodies of targets' responses.
+  BufferBudget response_buffers;
   // Open sessions; each adds and removes itself.
   std::set<GatewaySession*> sessions;
   // Called with the owner of a key when a connection to it fails.
--- a/src/transport/gateway/gateway_router.cc
+++ b/src/transport/gateway/gateway_router.cc
@@ -103,7 +103,11 @@
   }
   pool->set_max_connections(ConnectionLimit());
   TargetChooser& chooser = m_service->chooser;
-  std::shared_ptr<ByteStream> stream = pool->TakeIdle();
+  // Without a request ID, a late response to an earlier request on the same
+  // connection cannot be told apart.
+  const bool has_id = !m_request.info.request_id.empty();
+  std::shared_ptr<ByteStream> stream =
+      has_id ? pool->TakeIdle(m_refused_connections) : nullptr;
   const bool reused = stream != nullptr;
   if (!reused) {
     stream = pool->NewStream(m_context.executor);
@@ -133,12 +137,16 @@
   }
   ++m_attempts;
   const MonotonicTime sent = Now();
-  TargetExchange exchange(m_request, *stream, m_context.names);
+  TargetExchange exchange(m_request, *stream, m_context.names,
+                          m_context.response_buffers, reused);
   const TargetExchangeResult end =
       co_await exchange.Run(m_target.id, m_request.deadline);
   m_target_load = exchange.info().load;
+  if (end == TargetExchangeResult::kRefused) {
+    m_refused_connections.push_back(stream);
+  }
   stream.reset();
-  if (exchange.reusable()) {
+  if (exchange.reusable() && has_id) {
     lease.Reuse();
   }
   Action action = Action::kRetry;
@@ -246,7 +254,8 @@
   m_outcome.cause = "answered";
   AppendCallerResponse(exchange.response(), exchange.body().size(), has_body,
                        m_outcome.head);
-  m_outcome.body = exchange.body();
+  m_outcome.body = exchange.TakeBody();
+  m_outcome.body_memory = exchange.TakeBodyMemory();
   return Action::kFinish;
 }
 
--- a/src/transport/gateway/gateway_router.h
+++ b/src/transport/gateway/gateway_router.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "state/verdict.h"
 #include "transport/gateway/gateway_context.h"
@@ -22,6 +24,8 @@
   // gateway itself generates the response.
   std::string head;
   std::string body;
+  // Memory of `body`.
+  BufferBudget::Reservation body_memory;
 };
 
 // Routes one request: finds the owner of its key, or chooses a target by load,
@@ -90,6 +94,9 @@
   std::optional<ReportedLoad> m_target_load;
   // Version of the routing state from which the target was chosen.
   std::uint64_t m_chosen_version = 0;
+  // Connections on which a target refused the request. A second copy of the
+  // refusal may follow there, which would pass for a response to the retry.
+  std::vector<std::weak_ptr<ByteStream>> m_refused_connections;
   // Targets that refused the request, lost it or could not be reached.
   std::vector<TargetId> m_tried_targets;
   // How often the request was sent.
--- a/src/transport/gateway/gateway_settings.h
+++ b/src/transport/gateway/gateway_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 
 #include "coordination/shared_retry_budget.h"
@@ -26,6 +27,8 @@
   // Network link of the instance, Mbit/s; zero when unknown. Instances with
   // faster links are preferred as the leader and as relays of the log.
   LinkRate link_mbps = 0;
+  // Memory for responses of targets that are being received or sent on, bytes.
+  std::size_t response_buffer_bytes = std::size_t{64} << 20;
   // Time from the signal to stop within which the process must end.
   Milliseconds shutdown_timeout{6000};
 };
--- a/src/transport/gateway/target_exchange.cc
+++ b/src/transport/gateway/target_exchange.cc
@@ -15,6 +15,16 @@
 // those to other requests are skipped.
 constexpr int kMaxUnrelatedResponses = 4;
 
+// Number of bytes of a head's end that may be missing from the input so far.
+constexpr std::size_t kHeadEndOverlap = 3;
+
+// Whether `input`, the beginning of a response, may become a valid one.
+bool StartsLikeResponse(std::string_view input) {
+  constexpr std::string_view kBegin = "HTTP/1.";
+  const std::size_t size = std::min(input.size(), kBegin.size());
+  return input.substr(0, size) == kBegin.substr(0, size);
+}
+
 error_code Aborted() {
   return boost::asio::error::operation_aborted;
 }
@@ -52,15 +62,16 @@
   // A target that stops reading may have answered already.
   for (int i = 0; i < kMaxUnrelatedResponses; ++i) {
     m_body.clear();
+    m_body_memory.Clear();
     const error_code error = co_await ReceiveResponse();
     if (error) {
       co_return FailureResult();
     }
-    if (m_info.request_id_matches || m_info.not_run) {
+    if (IsResponseToRequest()) {
       break;
     }
   }
-  if (m_info.not_run) {
+  if (m_info.not_run && IsResponseToRequest()) {
     co_return TargetExchangeResult::kRefused;
   }
   const bool success = status() >= 200 && status() < 300;
@@ -72,6 +83,12 @@
   co_return TargetExchangeResult::kAnswered;
 }
 
+bool TargetExchange::IsResponseToRequest() const {
+  // On a connection without earlier requests, a refusal needs no ID.
+  return m_info.request_id_matches ||
+         (m_info.not_run && !m_info.has_request_id && !m_reused);
+}
+
 TargetExchangeResult TargetExchange::FailureResult() const {
   return m_request.wait_cancelled() ? TargetExchangeResult::kInterrupted
                                     : TargetExchangeResult::kLost;
@@ -104,10 +121,21 @@
 }
 
 Task<error_code> TargetExchange::ReceiveHead() {
+  int interim_responses = 0;
+  // Length of the input that is known not to contain the end of the head.
+  std::size_t searched = 0;
   for (;;) {
     const std::string_view input = m_stream.data();
-    const std::size_t size = FindHeadEnd(input);
+    if (!StartsLikeResponse(input)) {
+      co_return error_code(http::error::bad_version);
+    }
+    const std::size_t found = FindHeadEnd(input.substr(searched));
+    const std::size_t size = found > 0 ? searched + found : 0;
+    if ((size > 0 ? size : input.size()) > kMaxHeadBytes) {
+      co_return error_code(http::error::header_limit);
+    }
     if (size == 0) {
+      searched = input.size() - std::min(input.size(), kHeadEndOverlap);
       if (m_request.wait_cancelled()) {
         co_return Aborted();
       }
@@ -131,6 +159,7 @@
       co_return error ? error : error_code(http::error::bad_value);
     }
     m_stream.Consume(used);
+    searched = 0;
     const auto& response = m_parser->get();
     if (response.count(http::field::content_length) +
             response.count(http::field::transfer_encoding) >
@@ -145,11 +174,15 @@
           ParseTargetResponse(response, m_names, m_request.info.request_id);
       co_return error_code();
     }
+    if (++interim_responses > kMaxInterimResponses) {
+      co_return error_code(http::error::header_limit);
+    }
   }
 }
 
 Task<error_code> TargetExchange::ReceiveBody() {
   m_response_complete = false;
+  const std::uint64_t begin = consumed_bytes();
   while (!m_parser->is_done()) {
     BodyFragment piece;
     const error_code error =
@@ -157,8 +190,14 @@
     if (error) {
       co_return error;
     }
+    if (!m_body_memory.TryGrow(piece.bytes.size())) {
+      co_return error_code(http::error::body_limit);
+    }
     m_body.append(piece.bytes);
     m_stream.Consume(piece.consumed);
+    if (consumed_bytes() - begin > 2 * m_body.size() + kMaxFramingBytes) {
+      co_return error_code(http::error::body_limit);
+    }
   }
   m_response_complete = true;
   co_return error_code();
--- a/src/transport/gateway/target_exchange.h
+++ b/src/transport/gateway/target_exchange.h
@@ -1,9 +1,12 @@
 #pragma once
 
 #include <boost/beast/http/parser.hpp>
+#include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 
+#include "coordination/buffer_budget.h"
 #include "transport/gateway/gateway_request.h"
 
 namespace snipehall {
@@ -26,13 +29,29 @@
 // request can be sent again when the response is truncated.
 class TargetExchange {
  public:
-  // Maximum size of a response's body; a larger response gives kLost.
+  // Maximum size of a response's body; a larger response gives kLost, as does
+  // one that exceeds its share of `buffers`.
   static constexpr std::size_t kMaxBodyBytes = std::size_t{16} << 20;
+  // Maximum size of a response's head, bytes.
+  static constexpr std::size_t kMaxHeadBytes = std::size_t{32} << 10;
+  // Maximum number of interim (1xx) responses before the final one.
+  static constexpr int kMaxInterimResponses = 8;
+  // Chunk sizes, chunk extensions and trailers of a chunked body may together
+  // take this many bytes more than the body.
+  static constexpr std::size_t kMaxFramingBytes = std::size_t{64} << 10;
 
+  // `reused` tells whether the connection has served another request before.
+  // All arguments must outlive the object.
   TargetExchange(GatewayRequest& request,
                  ByteStream& stream,
-                 const GatewayHeaderNames& names)
-      : m_request(request), m_stream(stream), m_names(names) {}
+                 const GatewayHeaderNames& names,
+                 BufferBudget& buffers,
+                 bool reused)
+      : m_request(request),
+        m_stream(stream),
+        m_names(names),
+        m_reused(reused),
+        m_body_memory(buffers) {}
   TargetExchange(const TargetExchange&) = delete;
   TargetExchange& operator=(const TargetExchange&) = delete;
 
@@ -54,6 +73,11 @@
     return m_parser->get();
   }
   const std::string& body() const { return m_body; }
+  // Moves the body, and the memory reserved for it, out of the object.
+  std::string TakeBody() { return std::move(m_body); }
+  BufferBudget::Reservation TakeBodyMemory() {
+    return std::move(m_body_memory);
+  }
 
  private:
   using Parser = boost::beast::http::response_parser<ViewBody>;
@@ -66,13 +90,21 @@
   Task<IoStatus> ReceiveHead();
   Task<IoStatus> ReceiveBody();
   TargetExchangeResult FailureResult() const;
+  // Whether the last response belongs to the request.
+  bool IsResponseToRequest() const;
+  // Number of bytes of the connection's input that have been consumed.
+  std::uint64_t consumed_bytes() const {
+    return m_stream.received_bytes() - m_stream.data().size();
+  }
 
   GatewayRequest& m_request;
   ByteStream& m_stream;
   const GatewayHeaderNames& m_names;
+  const bool m_reused;
   std::optional<Parser> m_parser;
   TargetResponseInfo m_info;
   std::string m_body;
+  BufferBudget::Reservation m_body_memory;
   std::size_t m_bytes_written = 0;
   bool m_sending = false;
   bool m_request_sent = false;
--- a/src/transport/target_pool.cc
+++ b/src/transport/target_pool.cc
@@ -16,12 +16,19 @@
   std::exchange(m_pool, nullptr)->Release(std::move(m_stream), true);
 }
 
-std::shared_ptr<ByteStream> TargetPool::TakeIdle() {
-  if (m_idle.empty()) {
+std::shared_ptr<ByteStream> TargetPool::TakeIdle(
+    std::span<const std::weak_ptr<ByteStream>> excluded) {
+  const auto found = std::find_if(
+      m_idle.rbegin(), m_idle.rend(), [excluded](const auto& stream) {
+        return std::none_of(
+            excluded.begin(), excluded.end(),
+            [&stream](const auto& other) { return other.lock() == stream; });
+      });
+  if (found == m_idle.rend()) {
     return nullptr;
   }
-  std::shared_ptr<ByteStream> stream = std::move(m_idle.back());
-  m_idle.pop_back();
+  std::shared_ptr<ByteStream> stream = std::move(*found);
+  m_idle.erase(std::next(found).base());
   stream->set_on_input(nullptr);
   ++m_in_use;
   return stream;
--- a/src/transport/target_pool.h
+++ b/src/transport/target_pool.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -55,9 +56,11 @@
   bool HasCapacity() const { return m_in_use < m_max_connections; }
 
   // Returns the most recently used idle connection, which the target is least
-  // likely to close soon, and counts it as in use. Returns null if none is
-  // idle. Wrap the result in a PooledConnection.
-  std::shared_ptr<ByteStream> TakeIdle();
+  // likely to close soon, and counts it as in use. Never returns one of
+  // `excluded`. Returns null if no other is idle. Wrap the result in a
+  // PooledConnection.
+  std::shared_ptr<ByteStream> TakeIdle(
+      std::span<const std::weak_ptr<ByteStream>> excluded = {});
 
   // Returns a new stream, which counts as in use; the caller connects it to
   // endpoint(). If the maximum of open connections is reached, closes the one
--- a/tests/unit/support/gateway_fixture.h
+++ b/tests/unit/support/gateway_fixture.h
@@ -22,6 +22,7 @@
   struct Options {
     Milliseconds timeout{5000};
     int max_attempts = 3;
+    std::size_t response_buffer_bytes = std::size_t{64} << 20;
     RequestLimits limits;
   };
 
@@ -30,14 +31,14 @@
   GatewayFixture(const std::vector<std::string>& target_addresses,
                  const Options& options)
       : m_context(m_io.get_executor(),
-                  Settings(),
+                  Settings(options),
                   GatewayHeaderNames(),
                   m_state,
                   m_metrics,
                   1),
         m_server(GatewayServer::Create(
                      m_context,
-                     Settings(),
+                     Settings(options),
                      [] { return true; },
                      [] {})
                      .value()) {
@@ -122,13 +123,14 @@
   }
 
  private:
-  static GatewaySettings Settings() {
+  static GatewaySettings Settings(const Options& options) {
     GatewaySettings settings;
     settings.instance = "instance";
     settings.zone = "zone";
     settings.caller_address = "127.0.0.1:0";
     settings.status_address = "127.0.0.1:0";
     settings.retry_limits.base = 1000;
+    settings.response_buffer_bytes = options.response_buffer_bytes;
     return settings;
   }
 
