--- a/src/transport/gateway/gateway_control.h
+++ b/src/transport/gateway/gateway_control.h
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/outcome/try.hpp>
 #include <concepts>
+#include <exception>
 #include <functional>
 #include <iterator>
 #include <map>
@@ -194,51 +195,11 @@
     }
   }
 
-  // Handles a datagram of another instance.
+  // Handles a datagram of another instance. An exception ends the work on this
+  // datagram only.
   void OnMessage(const LeaderLink::Endpoint& sender,
                  const LeaderMessage& message) {
-    const MonotonicTime now = Now();
-    if (const auto* report = std::get_if<LeaderReport>(&message.content)) {
-      if (!m_has_keys) {
-        // This instance does not know yet whether it is the leader.
-        return;
-      }
-      // Another instance shall replace a leader that cannot read the log or
-      // shuts down, and the sender one with a much slower network link.
-      if (!m_key_leader.IsLeader(now) || m_draining ||
-          RelayPlanner::IsMuchFaster(report->link_mbps, m_link_mbps)) {
-        m_link.Send(sender, {m_instance, LeaderNotServing()});
-        return;
-      }
-      if (!report->load.service.empty()) {
-        m_key_leader.OnLoad(now, report->load);
-      }
-      const std::string relay = m_relay_planner.OnReport(
-          now, report->zone, report->relay_address, report->link_mbps);
-      m_link.Send(
-          sender,
-          {m_instance, LeaderServing{relay, m_relay_planner.fastest_link()}});
-      m_reporters.insert_or_assign(sender, now);
-      std::vector<FencingToken> completed = m_key_leader.CompletedMoves();
-      if (!completed.empty()) {
-        m_link.Send(sender,
-                    {m_instance, LeaderMovesCompleted{std::move(completed)}});
-      }
-    } else if (const auto* serving =
-                   std::get_if<LeaderServing>(&message.content)) {
-      m_leader_failure_detector.OnServing(
-          message.from,
-          RelayPlanner::IsMuchFaster(serving->fastest_link_mbps, m_link_mbps));
-      SetRelay(serving->relay);
-    } else if (const auto* moves_completed =
-                   std::get_if<LeaderMovesCompleted>(&message.content)) {
-      m_state.AddCompletedMoves(moves_completed->fencing_tokens);
-    } else if (std::holds_alternative<LeaderNotServing>(message.content)) {
-      m_leader_failure_detector.OnNotServing(message.from);
-    } else if (const auto* replaced =
-                   std::get_if<LeaderReplaced>(&message.content)) {
-      m_key_leader.OnLeaderReplaced(now, *replaced);
-    }
+    RunGuarded(message.from, [&] { HandleMessage(sender, message); });
   }
 
   // Call when the instance begins to shut down. Makes it decline reports, so
@@ -307,6 +268,65 @@
 
   static MonotonicTime Now() { return std::chrono::steady_clock::now(); }
 
+  // Runs `function`, the handling of one input from `source`. An unexpected
+  // exception is logged and goes no further, so that the process continues with
+  // the next input.
+  template <typename Function>
+  void RunGuarded(std::string_view source, Function function) {
+    try {
+      function();
+    } catch (const std::exception& error) {
+      m_metrics.IncrementEvent("exception");
+      m_log.Write("exception", {{"source", source}, {"error", error.what()}});
+    }
+  }
+
+  void HandleMessage(const LeaderLink::Endpoint& sender,
+                     const LeaderMessage& message) {
+    const MonotonicTime now = Now();
+    if (const auto* report = std::get_if<LeaderReport>(&message.content)) {
+      if (!m_has_keys) {
+        // This instance does not know yet whether it is the leader.
+        return;
+      }
+      // Another instance shall replace a leader that cannot read the log or
+      // shuts down, and the sender one with a much slower network link.
+      if (!m_key_leader.IsLeader(now) || m_draining ||
+          RelayPlanner::IsMuchFaster(report->link_mbps, m_link_mbps)) {
+        m_link.Send(sender, {m_instance, LeaderNotServing()});
+        return;
+      }
+      if (!report->load.service.empty()) {
+        m_key_leader.OnLoad(now, report->load);
+      }
+      const std::string relay = m_relay_planner.OnReport(
+          now, report->zone, report->relay_address, report->link_mbps);
+      m_link.Send(
+          sender,
+          {m_instance, LeaderServing{relay, m_relay_planner.fastest_link()}});
+      m_reporters.insert_or_assign(sender, now);
+      std::vector<FencingToken> completed = m_key_leader.CompletedMoves();
+      if (!completed.empty()) {
+        m_link.Send(sender,
+                    {m_instance, LeaderMovesCompleted{std::move(completed)}});
+      }
+    } else if (const auto* serving =
+                   std::get_if<LeaderServing>(&message.content)) {
+      m_leader_failure_detector.OnServing(
+          message.from,
+          RelayPlanner::IsMuchFaster(serving->fastest_link_mbps, m_link_mbps));
+      SetRelay(serving->relay);
+    } else if (const auto* moves_completed =
+                   std::get_if<LeaderMovesCompleted>(&message.content)) {
+      m_state.AddCompletedMoves(moves_completed->fencing_tokens);
+    } else if (std::holds_alternative<LeaderNotServing>(message.content)) {
+      m_leader_failure_detector.OnNotServing(message.from);
+    } else if (const auto* replaced =
+                   std::get_if<LeaderReplaced>(&message.content)) {
+      m_key_leader.OnLeaderReplaced(now, *replaced);
+    }
+  }
+
   bool HasTarget(std::string_view service) const {
     for (const auto& [id, target] : m_state.targets()) {
       if (target.service == service) {
@@ -324,7 +344,7 @@
     return {
         [this, topic, on_page](const RecordPage& page, bool whole) {
           RecordDependency(topic, std::nullopt);
-          (this->*on_page)(page, whole);
+          RunGuarded(topic, [&] { (this->*on_page)(page, whole); });
           if (!page.records.empty()) {
             m_relay_server.Notify();
           }
