Count a new connection as idle only from its first read on

Cause: a connection that was accepted while the process was busy could be closed as idle at a planned stop before its first read.

--- a/src/transport/gateway/gateway_session.cc
+++ b/src/transport/gateway/gateway_session.cc
@@ -58,10 +58,9 @@
                                             }
                                             m_event.Notify();
                                           })),
-      m_write_timer(
-          std::make_shared<DeadlineTimer>(context.executor,
-                                          [this] { m_stream->Cancel(); })),
-      m_idle_since(Now()) {
+      m_write_timer(std::make_shared<DeadlineTimer>(context.executor, [this] {
+        m_stream->Cancel();
+      })) {
   m_context.sessions.insert(this);
 }
 
@@ -93,6 +92,7 @@
     RecordArrival();
     m_event.Notify();
   });
+  m_idle_since = Now();
   bool open = true;
   while (open) {
     open = co_await ReadRequest();
--- a/src/transport/gateway/gateway_session.h
+++ b/src/transport/gateway/gateway_session.h
@@ -106,8 +106,8 @@
   std::shared_ptr<DeadlineTimer> m_write_timer;
   // Requests that have not got their responses yet, oldest first.
   std::deque<std::shared_ptr<Exchange>> m_pipeline;
-  // When the connection was opened or the last response was sent.
-  MonotonicTime m_idle_since;
+  // When the first read began or the last response was sent.
+  MonotonicTime m_idle_since = MonotonicTime::max();
   // Reads that ended with unread bytes, oldest first: ByteStream's
   // received_bytes() at their end, and their time.
   std::deque<std::pair<std::uint64_t, MonotonicTime>> m_arrivals;
