--- /dev/null
+++ b/tests/process/gateway_settings_test.cc
@@ -0,0 +1,53 @@
+#include "platform/settings_file.h"
+
+#include <chrono>
+#include <string>
+
+#include <criterion/criterion.h>
+
+namespace snipehall::platform {
+namespace {
+
+constexpr int kSharedBase = 430;
+
+GatewaySettings Settings() {
+  return ParseSettings(
+             "[Local]\nNodeName = \"edge-1\"\nIp = \"10.1.0.1\"\n"
+             "Zone = \"zone-1\"\n[Local.Limits]\nMemoryMb = 160\n"
+             "[Network]\nInternalPorts = [7620, 7635]\n[Network.Listen]\n"
+             "Front = \"10.1.0.1:80\"\nReady = \"10.1.0.1:81\"\n"
+             "[Platform.Platform]\nAddress = \"10.1.0.2:82\"\n"
+             "[Terms.Bounds]\nRetryBudgetRatio = 0.2\nRetryBudgetBase = " +
+             std::to_string(kSharedBase) +
+             "\nBudgetWindow = \"10s\"\nGrace = \"6s\"\n")
+      .value();
+}
+
+// Load: every instance of a deployment sends all the retries that it may to a
+// service with few requests.
+Test(gateway_settings, instances_together_keep_the_shared_retry_budget) {
+  constexpr int kRequestsPerInstance = 20;
+  const GatewaySettings settings = Settings();
+  for (const int instances : {1, 9, 61, 195, 300}) {
+    SharedRetryBudget budget(settings.retry_limits);
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    for (int i = 0; i < kRequestsPerInstance; ++i) {
+      budget.OnRequest(now);
+    }
+    int retries = 0;
+    while (budget.TryTake(now)) {
+      ++retries;
+    }
+    const double allowed = 0.2 * kRequestsPerInstance * instances + kSharedBase;
+    cr_assert(retries * instances <= allowed,
+              "%d instances send %d retries, %.0f are allowed", instances,
+              retries * instances, allowed);
+  }
+}
+
+Test(gateway_settings, responses_take_a_part_of_the_memory) {
+  cr_assert(Settings().response_buffer_bytes == std::size_t{20} << 20);
+}
+
+}  // namespace
+}  // namespace snipehall::platform
