--- a/tests/process/gateway_test.cc
+++ b/tests/process/gateway_test.cc
@@ -180,13 +180,15 @@
 // Guards against a process that crashes when it ends with requests unfinished:
 // the work on it must be destroyed before the state that it refers to.
 Test(gateway, ends_cleanly_with_requests_in_progress) {
+  constexpr int kCallers = 8;
   GatewayCluster cluster({.gateways = 1, .unkeyed_targets = 1});
   cluster.WaitUntilReady(Clock::now() + seconds(15));
   for (std::size_t i = 0; i < cluster.targets(); ++i) {
     cluster.SignalTarget(i, SIGSTOP);
   }
   std::vector<std::thread> callers;
-  for (int i = 0; i < 8; ++i) {
+  callers.reserve(kCallers);
+  for (int i = 0; i < kCallers; ++i) {
     callers.emplace_back([&cluster, i] {
       HttpClient client(cluster.address(0));
       HttpClientRequest request = BookingRequest(i);
--- a/tests/unit/buffer_budget_test.cc
+++ b/tests/unit/buffer_budget_test.cc
@@ -14,6 +14,7 @@
 std::vector<BufferBudget::Reservation> GrowWithoutEnd(BufferBudget& budget,
                                                       int count) {
   std::vector<BufferBudget::Reservation> messages;
+  messages.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     messages.emplace_back(budget);
   }
--- a/tests/unit/gateway_hostile_target_test.cc
+++ b/tests/unit/gateway_hostile_target_test.cc
@@ -264,6 +264,7 @@
   GatewayFixture gateway({target.address()}, options);
   const std::size_t before = ResidentBytes();
   std::vector<std::thread> callers;
+  callers.reserve(kEndlessTargets);
   std::atomic<int> finished = 0;
   std::atomic<int> wrong = 0;
   for (int i = 0; i < kEndlessTargets; ++i) {
