--- a/src/coordination/buffer_budget.h
+++ b/src/coordination/buffer_budget.h
@@ -8,14 +8,15 @@
 // Memory shared by messages of unknown size that are buffered until they are
 // complete. Each may take up to a share of what is free at the moment, so a few
 // large ones cannot use up all of it: with n messages that grow without end,
-// each gets capacity / (n + kShareDivisor), and an equal part stays free for
-// others (dynamic queue thresholds, as in shared-memory switches). Not
-// thread-safe; must outlive its reservations.
+// each gets capacity / (n + kShareDivisor - 1), and an equal part stays free
+// for others. This is the dynamic queue threshold of shared-memory switches.
+// Not thread-safe; must outlive its reservations.
 class BufferBudget {
  public:
   // Every message may take this much, whatever others use.
   static constexpr std::size_t kGuaranteedBytes = std::size_t{16} * 1024;
-  // A message may take this part of the free memory.
+  // A message may take the memory that is free, its own included, divided by
+  // this.
   static constexpr std::size_t kShareDivisor = 2;
 
   // The memory of one message; the destructor returns it.
