Show when requests were sent, to whom, and how late the event loop is

Logs could not tell a request that was read late from one that waited on a slow link. request_failed now has sent_ms and sent_after_close, and delays of the event loop are logged and counted.

--- a/src/transport/byte_stream.cc
+++ b/src/transport/byte_stream.cc
@@ -146,6 +146,16 @@
   return m_end > m_begin || m_socket.available(ignored) > 0;
 }
 
+bool ByteStream::IsClosedByPeer() {
+  if (m_input_error) {
+    return true;
+  }
+  char byte = 0;
+  error_code error;
+  m_socket.receive(boost::asio::buffer(&byte, 1), Socket::message_peek, error);
+  return error && error != boost::asio::error::would_block;
+}
+
 void ByteStream::ShrinkIfIdle() {
   if (m_read_pending || m_begin != m_end ||
       m_capacity == kInitialCapacityBytes) {
--- a/src/transport/byte_stream.h
+++ b/src/transport/byte_stream.h
@@ -72,6 +72,9 @@
   void ShutdownSend();
   // Returns whether unconsumed bytes are in the read buffer or in the socket.
   bool HasUnreadInput();
+  // Returns whether the peer has closed or reset the connection, also when no
+  // read has reported that yet. A close behind unread bytes is not detected.
+  bool IsClosedByPeer();
 
   // Replaces an enlarged buffer by one of the initial size if it is empty and
   // no read is pending.
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -95,6 +95,9 @@
   static constexpr Milliseconds kStopPollInterval{50};
   // Interval between load reports to the leader.
   static constexpr Milliseconds kLoadReportInterval{400};
+  // Delay of the event loop from which on it is logged. The load balancer's
+  // checks and the callers' shortest deadlines are of that order.
+  static constexpr Milliseconds kLoggedEventLoopDelay{250};
   // The process ends this long before the shutdown limit at the latest: exiting
   // takes time on a slow machine, and the platform excuses unfinished requests
   // in the last sixth of the limit.
@@ -141,6 +144,10 @@
          {"status", std::to_string(request.status)},
          {"attempts", std::to_string(request.attempts)},
          {"elapsed_ms", std::to_string(request.elapsed_ms)},
+         {"sent_ms", request.sent_after
+                         ? std::to_string(request.sent_after->count())
+                         : std::string()},
+         {"sent_after_close", request.sent_after_close ? "true" : "false"},
          {"target_load",
           request.target_load
               ? std::to_string(request.target_load->outstanding) + "/" +
@@ -154,12 +161,25 @@
     m_report_timer.expires_after(kLoadReportInterval);
     m_report_timer.async_wait([this](const boost::system::error_code& error) {
       if (!error) {
+        RecordEventLoopDelay();
         m_control.ReportLoad(m_context.key_loads.TakeReports());
         ScheduleReports();
       }
     });
   }
 
+  void RecordEventLoopDelay() {
+    const auto delay = Now() - m_report_timer.expiry();
+    m_metrics.RecordEventLoopDelay(
+        std::chrono::duration<double>(delay).count());
+    if (delay >= kLoggedEventLoopDelay) {
+      const auto delay_ms = std::chrono::duration_cast<Milliseconds>(delay);
+      m_log.Write("event_loop_delayed",
+                  {{"delay_ms", std::to_string(delay_ms.count())},
+                   {"busy", std::to_string(m_server->active_requests())}});
+    }
+  }
+
   void BeginStop() {
     m_log.Write("stop",
                 {{"busy", std::to_string(m_server->active_requests())}});
--- a/src/transport/gateway/gateway_metrics.cc
+++ b/src/transport/gateway/gateway_metrics.cc
@@ -22,6 +22,11 @@
                             .Name("snipehall_gateway_request_seconds")
                             .Help("Time from a request's head to its answer")
                             .Register(*m_registry)),
+      m_event_loop_delay(
+          prometheus::BuildHistogram()
+              .Name("snipehall_gateway_event_loop_delay_seconds")
+              .Help("Delay with which the event loop handles timers")
+              .Register(*m_registry)),
       m_events(prometheus::BuildCounter()
                    .Name("snipehall_gateway_events_total")
                    .Help("Events by name")
@@ -41,6 +46,10 @@
       .Observe(seconds);
 }
 
+void GatewayMetrics::RecordEventLoopDelay(double seconds) {
+  m_event_loop_delay.Add({}, kLatencyBucketsSeconds).Observe(seconds);
+}
+
 void GatewayMetrics::IncrementEvent(std::string_view event) {
   m_events.Add({{"event", std::string(event)}}).Increment();
 }
--- a/src/transport/gateway/gateway_metrics.h
+++ b/src/transport/gateway/gateway_metrics.h
@@ -23,6 +23,9 @@
   void RecordRequest(std::string_view route,
                      std::string_view outcome,
                      double seconds);
+  // Adds the delay with which the event loop handled a timer, in seconds, to
+  // its histogram.
+  void RecordEventLoopDelay(double seconds);
   // Increments the counter of `event`, for events other than requests.
   void IncrementEvent(std::string_view event);
   // Sets the gauge `name`.
@@ -35,6 +38,7 @@
   std::shared_ptr<prometheus::Registry> m_registry;
   prometheus::Family<prometheus::Counter>& m_requests;
   prometheus::Family<prometheus::Histogram>& m_request_seconds;
+  prometheus::Family<prometheus::Histogram>& m_event_loop_delay;
   prometheus::Family<prometheus::Counter>& m_events;
   prometheus::Family<prometheus::Gauge>& m_values;
 };
--- a/src/transport/gateway/gateway_request.cc
+++ b/src/transport/gateway/gateway_request.cc
@@ -1,11 +1,14 @@
 #include "transport/gateway/gateway_request.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace snipehall {
 
-GatewayRequest::GatewayRequest(const Executor& executor)
+GatewayRequest::GatewayRequest(const Executor& executor,
+                               std::shared_ptr<ByteStream> caller)
     : event(executor),
+      caller_stream(std::move(caller)),
       m_timer(
           std::make_shared<DeadlineTimer>(executor, [this] { OnExpiry(); })) {}
 
--- a/src/transport/gateway/gateway_request.h
+++ b/src/transport/gateway/gateway_request.h
@@ -21,7 +21,7 @@
  public:
   using Parser = boost::beast::http::request_parser<ViewBody>;
 
-  explicit GatewayRequest(const Executor& executor);
+  GatewayRequest(const Executor& executor, std::shared_ptr<ByteStream> caller);
   ~GatewayRequest();
   GatewayRequest(const GatewayRequest&) = delete;
   GatewayRequest& operator=(const GatewayRequest&) = delete;
@@ -60,6 +60,8 @@
 
   // Notified when the wait is cancelled.
   AsyncEvent event;
+  // Connection to the caller.
+  std::shared_ptr<ByteStream> caller_stream;
   // Connection to the target in use, or null. Cancelled with the wait.
   ByteStream* target_stream = nullptr;
 
--- a/src/transport/gateway/gateway_router.cc
+++ b/src/transport/gateway/gateway_router.cc
@@ -137,6 +137,12 @@
   }
   ++m_attempts;
   const MonotonicTime sent = Now();
+  m_sent_after =
+      std::chrono::duration_cast<Milliseconds>(sent - m_request.received_at);
+  m_sent_after_close = m_request.caller_stream->IsClosedByPeer();
+  if (m_sent_after_close) {
+    m_context.metrics.IncrementEvent("sent_after_close");
+  }
   TargetExchange exchange(m_request, *stream, m_context.names,
                           m_context.response_buffers, reused);
   const TargetExchangeResult end =
--- a/src/transport/gateway/gateway_session.cc
+++ b/src/transport/gateway/gateway_session.cc
@@ -165,7 +165,8 @@
   if (!has_room) {
     co_return false;
   }
-  const auto exchange = std::make_shared<Exchange>(m_context.executor);
+  const auto exchange =
+      std::make_shared<Exchange>(m_context.executor, m_stream);
   GatewayRequest& request = exchange->request;
   bool complete = co_await ReadHead(*exchange);
   if (!complete && !exchange->complete) {
@@ -395,7 +396,8 @@
     m_context.on_failed_request(
         {request.info.request_id, request.route->name, router.target(),
          outcome.cause, outcome.status, router.attempts(),
-         static_cast<int>(seconds * 1000), request.policy->version(),
+         static_cast<int>(seconds * 1000), router.sent_after(),
+         router.sent_after_close(), request.policy->version(),
          router.target_load(), request.info.key});
   }
 }
--- a/src/transport/gateway/gateway_session.h
+++ b/src/transport/gateway/gateway_session.h
@@ -43,7 +43,8 @@
  private:
   // A request with its response.
   struct Exchange {
-    explicit Exchange(const Executor& executor) : request(executor) {}
+    Exchange(const Executor& executor, std::shared_ptr<ByteStream> caller)
+        : request(executor, std::move(caller)) {}
 
     GatewayRequest request;
     GatewayOutcome outcome;
