Send no request whose caller has left or whose deadline has passed

Cause: the gateway acted on what its handlers had noticed, not on the state of the connection. A close or an expired timer that was still queued behind other handlers did not hold back the attempt. Class: a decision from stale state in a queue.

Change: GatewayRequest::CheckInterrupted() asks the clock and the caller's socket before each attempt, and again once a new connection is open; that connection is kept for another request.

--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -147,7 +147,6 @@
          {"sent_ms", request.sent_after
                          ? std::to_string(request.sent_after->count())
                          : std::string()},
-         {"sent_after_close", request.sent_after_close ? "true" : "false"},
          {"target_load",
           request.target_load
               ? std::to_string(request.target_load->outstanding) + "/" +
--- a/src/transport/gateway/gateway_context.h
+++ b/src/transport/gateway/gateway_context.h
@@ -37,8 +37,6 @@
   // Time from the arrival of the request to the last attempt; no value if it
   // was not sent.
   std::optional<Milliseconds> sent_after;
-  // The caller had closed its connection before the last attempt was sent.
-  bool sent_after_close = false;
   std::uint64_t policy_version = 0;
   // Load that the target reported in its last response.
   std::optional<ReportedLoad> target_load;
--- a/src/transport/gateway/gateway_request.cc
+++ b/src/transport/gateway/gateway_request.cc
@@ -44,6 +44,14 @@
   CancelWait();
 }
 
+bool GatewayRequest::CheckInterrupted() {
+  if (!interrupted()) {
+    m_deadline_passed = std::chrono::steady_clock::now() >= deadline;
+    m_caller_disconnected = caller_stream->IsClosedByPeer();
+  }
+  return interrupted();
+}
+
 void GatewayRequest::CancelWait() {
   if (target_stream != nullptr) {
     target_stream->Cancel();
--- a/src/transport/gateway/gateway_request.h
+++ b/src/transport/gateway/gateway_request.h
@@ -43,6 +43,9 @@
   bool interrupted() const {
     return m_deadline_passed || m_caller_disconnected;
   }
+  // The same, also when the event loop has not handled the timer or the close
+  // yet. Call it before each attempt; it makes a system call.
+  bool CheckInterrupted();
   // The current wait was cancelled, for any of these reasons.
   bool wait_cancelled() const { return interrupted() || m_step_expired; }
 
--- a/src/transport/gateway/gateway_router.cc
+++ b/src/transport/gateway/gateway_router.cc
@@ -51,7 +51,7 @@
     }
   }
   while (action == Action::kRetry) {
-    if (m_request.interrupted()) {
+    if (m_request.CheckInterrupted()) {
       action = HandleInterruption();
     } else if (ChooseTarget(Now())) {
       action = co_await RunAttempt();
@@ -135,14 +135,15 @@
     }
     co_return action;
   }
+  if (!reused && m_request.CheckInterrupted()) {
+    chooser.OnAbandoned(m_target.id);
+    lease.Reuse();
+    co_return HandleInterruption();
+  }
   ++m_attempts;
   const MonotonicTime sent = Now();
   m_sent_after =
       std::chrono::duration_cast<Milliseconds>(sent - m_request.received_at);
-  m_sent_after_close = m_request.caller_stream->IsClosedByPeer();
-  if (m_sent_after_close) {
-    m_context.metrics.IncrementEvent("sent_after_close");
-  }
   TargetExchange exchange(m_request, *stream, m_context.names,
                           m_context.response_buffers, reused);
   const TargetExchangeResult end =
--- a/src/transport/gateway/gateway_router.h
+++ b/src/transport/gateway/gateway_router.h
@@ -49,9 +49,6 @@
   // Time from the arrival of the request to the last attempt; no value if it
   // was not sent.
   std::optional<Milliseconds> sent_after() const { return m_sent_after; }
-  // Whether the caller had closed its connection before the last attempt was
-  // sent.
-  bool sent_after_close() const { return m_sent_after_close; }
 
  private:
   // What follows an attempt.
@@ -108,7 +105,6 @@
   // How often the request was sent.
   int m_attempts = 0;
   std::optional<Milliseconds> m_sent_after;
-  bool m_sent_after_close = false;
   // Failed connection attempts.
   int m_failed_connects = 0;
   // When the request stops waiting for an owner or a target.
--- a/src/transport/gateway/gateway_session.cc
+++ b/src/transport/gateway/gateway_session.cc
@@ -397,8 +397,7 @@
         {request.info.request_id, request.route->name, router.target(),
          outcome.cause, outcome.status, router.attempts(),
          static_cast<int>(seconds * 1000), router.sent_after(),
-         router.sent_after_close(), request.policy->version(),
-         router.target_load(), request.info.key});
+         request.policy->version(), router.target_load(), request.info.key});
   }
 }
 
--- a/tests/unit/support/gateway_fixture.h
+++ b/tests/unit/support/gateway_fixture.h
@@ -24,6 +24,8 @@
     int max_attempts = 3;
     std::size_t response_buffer_bytes = std::size_t{64} << 20;
     RequestLimits limits;
+    // The service is keyed, and its first target owns all keys.
+    bool keyed = false;
   };
 
   explicit GatewayFixture(const std::vector<std::string>& target_addresses)
@@ -57,6 +59,7 @@
     ServicePolicy service;
     service.name = "work";
     service.connection_limit = 10000;
+    service.keyed = options.keyed;
     m_state.SetPolicy(
         RoutePolicy::Create(1, options.limits, {read, order}, {service})
             .value());
@@ -71,6 +74,12 @@
       targets.emplace(target.id, target);
     }
     m_state.SetTargets(std::move(targets));
+    if (options.keyed) {
+      KeyTable table;
+      table.services["work"] = {
+          {.first = 0, .last = kLastKey, .owner = "target-0"}};
+      m_state.SetKeys(std::move(table));
+    }
     m_server->Start();
     m_thread = std::thread([this] { m_io.run(); });
   }
