Accept all waiting connections at once

What callers saw: during bursts of work on an instance, new connections waited over half a second, so that callers gave up before their request was read; the instance said that it was ready.

Cause: the acceptor took one connection for each pass over the ready handlers. A leader that sends hundreds of orders has passes of 50 ms and more, so it accepted at most 20 connections a second whatever it could serve. Class: work taken one item at a time from a queue that is served in turn with others. The same loop stood at the status and the relay listener.

--- a/src/transport/gateway/bind_acceptor.h
+++ b/src/transport/gateway/bind_acceptor.h
@@ -4,7 +4,6 @@
 #include <string>
 
 #include "state/result.h"
-#include "state/types.h"
 #include "transport/tcp_endpoint.h"
 
 namespace snipehall {
@@ -13,13 +12,9 @@
 // while the process is not scheduled.
 inline constexpr int kListenBacklog = 512;
 
-// Delay before the next accept after one failed, usually because the process
-// ran out of file descriptors.
-inline constexpr Milliseconds kAcceptRetryDelay{20};
-
-// Opens `acceptor`, binds it to "address:port" and starts to listen, with
-// SO_REUSEADDR. Fails with kUnavailable when the address cannot be bound, or
-// with the error of ParseTcpEndpoint() when it is malformed.
+// Opens `acceptor` as non-blocking, binds it to "address:port" and starts to
+// listen, with SO_REUSEADDR. Fails with kUnavailable when the address cannot be
+// bound, or with the error of ParseTcpEndpoint() when it is malformed.
 template <typename Acceptor>
 Result<void> BindAcceptor(Acceptor& acceptor, const std::string& address) {
   BOOST_OUTCOME_TRY(const auto endpoint, ParseTcpEndpoint(address));
@@ -34,6 +29,9 @@
   if (!error) {
     acceptor.listen(kListenBacklog, error);
   }
+  if (!error) {
+    acceptor.non_blocking(true, error);
+  }
   if (error) {
     return Fail(ErrorCode::kUnavailable,
                 "cannot listen at " + address + ": " + error.message());
--- a/src/transport/gateway/gateway_server.cc
+++ b/src/transport/gateway/gateway_server.cc
@@ -8,6 +8,7 @@
 
 #include "protocol/http_head_checks.h"
 #include "protocol/key_table_codec.h"
+#include "transport/gateway/accept_connections.h"
 #include "transport/gateway/bind_acceptor.h"
 #include "transport/gateway/gateway_session.h"
 
@@ -46,9 +47,20 @@
 }
 
 void GatewayServer::Start() {
-  boost::asio::co_spawn(m_context.executor, AcceptCallers(),
+  boost::asio::co_spawn(m_context.executor,
+                        AcceptConnections(m_context.executor, m_caller_acceptor,
+                                          [this](Socket socket) {
+                                            StartSession(std::move(socket));
+                                          }),
                         boost::asio::detached);
-  boost::asio::co_spawn(m_context.executor, AcceptStatusConnections(),
+  boost::asio::co_spawn(m_context.executor,
+                        AcceptConnections(m_context.executor, m_status_acceptor,
+                                          [this](Socket socket) {
+                                            boost::asio::co_spawn(
+                                                m_context.executor,
+                                                ServeStatus(std::move(socket)),
+                                                boost::asio::detached);
+                                          }),
                         boost::asio::detached);
 }
 
@@ -57,21 +69,6 @@
   return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
 }
 
-Task<void> GatewayServer::AcceptCallers() {
-  Timer pause(m_context.executor);
-  while (m_caller_acceptor.is_open()) {
-    Socket socket(m_context.executor);
-    const auto [error] =
-        co_await m_caller_acceptor.async_accept(socket, kAsTuple);
-    if (!error) {
-      StartSession(std::move(socket));
-    } else if (m_caller_acceptor.is_open()) {
-      pause.expires_after(kAcceptRetryDelay);
-      co_await pause.async_wait(kAsTuple);
-    }
-  }
-}
-
 void GatewayServer::StartSession(Socket socket) {
   auto session = std::make_shared<GatewaySession>(m_context, std::move(socket));
   boost::asio::co_spawn(
@@ -79,22 +76,6 @@
       boost::asio::detached);
 }
 
-Task<void> GatewayServer::AcceptStatusConnections() {
-  Timer pause(m_context.executor);
-  while (m_status_acceptor.is_open()) {
-    Socket socket(m_context.executor);
-    const auto [error] =
-        co_await m_status_acceptor.async_accept(socket, kAsTuple);
-    if (!error) {
-      boost::asio::co_spawn(m_context.executor, ServeStatus(std::move(socket)),
-                            boost::asio::detached);
-    } else if (m_status_acceptor.is_open()) {
-      pause.expires_after(kAcceptRetryDelay);
-      co_await pause.async_wait(kAsTuple);
-    }
-  }
-}
-
 Task<void> GatewayServer::ServeStatus(Socket socket) {
   const auto stream = std::make_shared<ByteStream>(std::move(socket));
   const auto timer = std::make_shared<DeadlineTimer>(
@@ -147,7 +128,6 @@
   // The kernel resets connections that wait to be accepted when the listener is
   // closed.
   error_code error;
-  m_caller_acceptor.non_blocking(true, error);
   while (!error) {
     Socket socket(m_context.executor);
     m_caller_acceptor.accept(socket, error);
--- a/src/transport/gateway/gateway_server.h
+++ b/src/transport/gateway/gateway_server.h
@@ -59,9 +59,7 @@
                 std::function<bool()> is_ready,
                 std::function<void()> update_metrics);
 
-  Task<void> AcceptCallers();
   void StartSession(Socket socket);
-  Task<void> AcceptStatusConnections();
   Task<void> ServeStatus(Socket socket);
   // Body for /metrics and /keys; empty for a readiness check.
   std::string StatusBody(std::string_view request_line);
--- a/src/transport/gateway/relay_server.cc
+++ b/src/transport/gateway/relay_server.cc
@@ -11,6 +11,7 @@
 #include "protocol/http_head_checks.h"
 #include "protocol/record_page_codec.h"
 #include "transport/deadline_timer.h"
+#include "transport/gateway/accept_connections.h"
 #include "transport/gateway/bind_acceptor.h"
 
 namespace snipehall {
@@ -48,25 +49,18 @@
 
 Result<void> RelayServer::Start(const std::string& address) {
   BOOST_OUTCOME_TRY(BindAcceptor(m_acceptor, address));
-  boost::asio::co_spawn(m_executor, Accept(), boost::asio::detached);
+  boost::asio::co_spawn(m_executor,
+                        AcceptConnections(m_executor, m_acceptor,
+                                          [this](Socket socket) {
+                                            boost::asio::co_spawn(
+                                                m_executor,
+                                                Serve(std::move(socket)),
+                                                boost::asio::detached);
+                                          }),
+                        boost::asio::detached);
   return boost::outcome_v2::success();
 }
 
-Task<void> RelayServer::Accept() {
-  Timer pause(m_executor);
-  while (m_acceptor.is_open()) {
-    Socket socket(m_executor);
-    const auto [error] = co_await m_acceptor.async_accept(socket, kAsTuple);
-    if (!error) {
-      boost::asio::co_spawn(m_executor, Serve(std::move(socket)),
-                            boost::asio::detached);
-    } else if (m_acceptor.is_open()) {
-      pause.expires_after(kAcceptRetryDelay);
-      co_await pause.async_wait(kAsTuple);
-    }
-  }
-}
-
 std::optional<RelayServer::RecordQuery> RelayServer::ParseQuery(
     std::string_view head) {
   const std::string_view line = head.substr(0, head.find("\r\n"));
--- a/src/transport/gateway/relay_server.h
+++ b/src/transport/gateway/relay_server.h
@@ -48,7 +48,6 @@
     MonotonicTime deadline;
   };
 
-  Task<void> Accept();
   Task<void> Serve(Socket socket);
   // The response to `query`, after waiting for a record as it asks; nothing
   // when the records are not available.
