--- a/tests/process/gateway_test.cc
+++ b/tests/process/gateway_test.cc
@@ -1,6 +1,7 @@
 #include <boost/json.hpp>
 #include <csignal>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <thread>
@@ -120,6 +121,59 @@
   }
 }
 
+// Guards against a service that stays down after all instances have returned.
+// `while_down` runs while no instance does.
+void RequireServiceAfterReturnOfAllInstances(
+    GatewayCluster& cluster,
+    const std::function<void()>& while_down) {
+  constexpr seconds kRecovery{15};
+  cluster.WaitUntilReady(Clock::now() + seconds(15));
+  for (std::size_t i = 0; i < cluster.gateways(); ++i) {
+    cluster.Signal(i, SIGKILL);
+  }
+  for (std::size_t i = 0; i < cluster.gateways(); ++i) {
+    cluster.WaitForExit(i, Clock::now() + seconds(5));
+  }
+  while_down();
+  for (std::size_t i = 0; i < cluster.gateways(); ++i) {
+    cluster.Restart(i);
+  }
+  const Clock::time_point recovered = Clock::now() + kRecovery;
+  for (int key = 0; key < 65536; key += 4096) {
+    const std::size_t gateway = key / 4096 % cluster.gateways();
+    const int read = SendUntilServed(cluster.address(gateway),
+                                     CatalogRequest(key, key), recovered);
+    Require(read == 200, "key " + std::to_string(key) + " got status " +
+                             std::to_string(read));
+  }
+  const int booking =
+      SendUntilServed(cluster.address(0), BookingRequest(1), recovered);
+  Require(booking == 200, "the booking got status " + std::to_string(booking));
+}
+
+Test(gateway, serves_again_after_all_instances_were_killed) {
+  GatewayCluster cluster({});
+  RequireServiceAfterReturnOfAllInstances(cluster, [] {});
+}
+
+Test(gateway, serves_again_after_all_instances_and_a_target_were_killed) {
+  GatewayCluster cluster({});
+  RequireServiceAfterReturnOfAllInstances(cluster,
+                                          [&] { cluster.ReplaceTarget(0); });
+}
+
+Test(gateway, serves_again_after_all_instances_returned_to_a_store_outage) {
+  GatewayCluster cluster({});
+  std::jthread end_of_outage;
+  RequireServiceAfterReturnOfAllInstances(cluster, [&] {
+    cluster.ControlStore("/test/outage", R"({"on":true,"mode":"hang"})");
+    end_of_outage = std::jthread([&] {
+      std::this_thread::sleep_for(seconds(4));
+      cluster.ControlStore("/test/outage", R"({"on":false})");
+    });
+  });
+}
+
 // Guards against a key table that cannot change because the leader has lost its
 // connection to the store but still answers the other instances.
 Test(gateway, leader_without_the_store_is_replaced) {
