Keep the rate limits that overloaded targets name

Cause: the gateway did not read the limit, and no instance sees what the others send. Class: a quantity that instances share without seeing each other's part.

Change: an instance that has a limited target asks the leader for a permit for each request to it (one datagram each way); the leader has a token bucket for each such target. Without an answer in 50 ms the instance keeps within 0.8 times its equal share; the leader counts the instances and tells them the number. A request without a permit goes to another target of its service, or is refused at once with the time until the next permit. Limits are logged (target_rate_limit) and counted (rate_limited, permit_response_lost).

Evidence: gateways_rate_limit, two tests with three processes: 286 and 190 requests in 4 s before, 65 allowed; they pass now, also with the leader killed.

--- a/src/coordination/leader_message.h
+++ b/src/coordination/leader_message.h
@@ -29,6 +29,8 @@
   std::string relay;
   // Rate of the fastest link of an instance that reports, Mbit/s.
   LinkRate fastest_link_mbps = 0;
+  // Number of instances; zero when the leader does not know it.
+  int instances = 0;
 };
 
 // Announces completed moves of keys to the other instances, so that the leader
@@ -38,6 +40,24 @@
   std::vector<FencingToken> fencing_tokens;
 };
 
+// Asks the leader whether a request may be sent to a target that limits its
+// request rate; see SharedRateLimiter.
+struct LeaderPermitRequest {
+  // Chosen by the sender, to match the response.
+  std::uint64_t number = 0;
+  TargetId target;
+  // Limit that the target has named, requests per second.
+  double limit = 0;
+};
+
+// Response of the leader to a LeaderPermitRequest.
+struct LeaderPermitResponse {
+  std::uint64_t number = 0;
+  bool granted = false;
+  // Time until the next permit is due; zero if granted.
+  Milliseconds retry_after{0};
+};
+
 // Response of an instance that is not the leader or is about to give up the
 // role.
 struct LeaderNotServing {};
@@ -58,7 +78,9 @@
                LeaderServing,
                LeaderMovesCompleted,
                LeaderNotServing,
-               LeaderReplaced>
+               LeaderReplaced,
+               LeaderPermitRequest,
+               LeaderPermitResponse>
       content;
 };
 
--- a/src/protocol/gateway_headers.cc
+++ b/src/protocol/gateway_headers.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <boost/beast/http/status.hpp>
 #include <charconv>
+#include <cmath>
 #include <cstdio>
 
 #include "protocol/end_to_end_headers.h"
@@ -42,6 +43,16 @@
   return ReportedLoad{numbers[0] + numbers[1], numbers[2]};
 }
 
+// Parses a non-negative decimal number. Returns nothing if the text is
+// malformed.
+std::optional<double> ParseRate(std::string_view text) {
+  double rate = 0;
+  if (!ParseNumber(text, rate) || !std::isfinite(rate) || rate < 0) {
+    return std::nullopt;
+  }
+  return rate;
+}
+
 void AppendStatusLine(unsigned status,
                       std::string_view reason,
                       std::string& out) {
@@ -122,6 +133,8 @@
                  response.result() == http::status::misdirected_request;
   info.has_content_encoding = response.count(http::field::content_encoding) > 0;
   info.load = ParseLoad(ToStringView(response[ToBeastView(names.load)]));
+  info.rate_limit =
+      ParseRate(ToStringView(response[ToBeastView(names.rate_limit)]));
   return info;
 }
 
--- a/src/protocol/gateway_headers.h
+++ b/src/protocol/gateway_headers.h
@@ -37,6 +37,9 @@
   // Set by the target: "running,queued,slots", the numbers of its running
   // requests, queued requests and slots.
   std::string_view load = "Snipehall-Load";
+  // Set by an overloaded target: number of requests per second, a decimal
+  // number, that it takes from all instances together while it sets the header.
+  std::string_view rate_limit = "Snipehall-Rate-Limit";
 };
 
 // Values from the headers of a caller's request. The view points into the
@@ -84,6 +87,9 @@
   bool has_content_encoding = false;
   // No value if the header is missing or malformed.
   std::optional<ReportedLoad> load;
+  // Requests per second, at least 0; no value if the header is missing or
+  // malformed.
+  std::optional<double> rate_limit;
 };
 
 // Parses the head of a target's response to the request with `request_id`.
--- a/src/protocol/lead_message.capnp
+++ b/src/protocol/lead_message.capnp
@@ -22,6 +22,11 @@
     # From the leader: fencing tokens of ranges whose move has completed. The newest
     # key table may still list them as moving.
     settled @5 :List(UInt64);
+    # To the leader: asks whether a request may be sent to a target that limits its
+    # request rate.
+    permitRequest @6 :PermitRequest;
+    # Answer of the leader to a permitRequest.
+    permitResponse @7 :PermitResponse;
   }
 }
 
@@ -41,6 +46,24 @@
   reader @0 :Text;
   # Rate of the fastest network link among the reporting instances, in Mbit/s.
   fastestLink @1 :UInt32;
+  # Number of instances, or 0 when the leader does not know it yet.
+  instances @2 :UInt32;
+}
+
+struct PermitRequest {
+  # Chosen by the sender, to match the response.
+  number @0 :UInt64;
+  target @1 :Text;
+  # Rate limit that the target has named, in requests per second.
+  limit @2 :Float64;
+}
+
+struct PermitResponse {
+  # From the request.
+  number @0 :UInt64;
+  granted @1 :Bool;
+  # Time until the next permit is due, in milliseconds; 0 if granted.
+  retryAfterMs @2 :UInt32;
 }
 
 struct Replaced {
--- a/src/protocol/lead_message.capnp.h
+++ b/src/protocol/lead_message.capnp.h
@@ -19,6 +19,8 @@
 CAPNP_DECLARE_SCHEMA(9fed3600d6188081);
 CAPNP_DECLARE_SCHEMA(f22ece0f93db5bf7);
 CAPNP_DECLARE_SCHEMA(afe7dc51da1b3174);
+CAPNP_DECLARE_SCHEMA(e525d6843db21571);
+CAPNP_DECLARE_SCHEMA(eb21fb7be1473318);
 CAPNP_DECLARE_SCHEMA(eef3dcc479991b0e);
 CAPNP_DECLARE_SCHEMA(89f62009bfccd807);
 CAPNP_DECLARE_SCHEMA(f5317be38cc662b8);
@@ -41,6 +43,8 @@
     NOT_SERVING,
     REPLACED,
     SETTLED,
+    PERMIT_REQUEST,
+    PERMIT_RESPONSE,
   };
 
   struct _capnpPrivate {
@@ -81,6 +85,36 @@
   };
 };
 
+struct PermitRequest {
+  PermitRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e525d6843db21571, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PermitResponse {
+  PermitResponse() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(eb21fb7be1473318, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Replaced {
   Replaced() = delete;
 
@@ -169,6 +203,14 @@
   inline bool hasSettled() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getSettled() const;
 
+  inline bool isPermitRequest() const;
+  inline bool hasPermitRequest() const;
+  inline  ::snipehall::wire::PermitRequest::Reader getPermitRequest() const;
+
+  inline bool isPermitResponse() const;
+  inline bool hasPermitResponse() const;
+  inline  ::snipehall::wire::PermitResponse::Reader getPermitResponse() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -242,6 +284,22 @@
   inline void adoptSettled(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownSettled();
 
+  inline bool isPermitRequest();
+  inline bool hasPermitRequest();
+  inline  ::snipehall::wire::PermitRequest::Builder getPermitRequest();
+  inline void setPermitRequest( ::snipehall::wire::PermitRequest::Reader value);
+  inline  ::snipehall::wire::PermitRequest::Builder initPermitRequest();
+  inline void adoptPermitRequest(::capnp::Orphan< ::snipehall::wire::PermitRequest>&& value);
+  inline ::capnp::Orphan< ::snipehall::wire::PermitRequest> disownPermitRequest();
+
+  inline bool isPermitResponse();
+  inline bool hasPermitResponse();
+  inline  ::snipehall::wire::PermitResponse::Builder getPermitResponse();
+  inline void setPermitResponse( ::snipehall::wire::PermitResponse::Reader value);
+  inline  ::snipehall::wire::PermitResponse::Builder initPermitResponse();
+  inline void adoptPermitResponse(::capnp::Orphan< ::snipehall::wire::PermitResponse>&& value);
+  inline ::capnp::Orphan< ::snipehall::wire::PermitResponse> disownPermitResponse();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -397,6 +455,8 @@
 
   inline  ::uint32_t getFastestLink() const;
 
+  inline  ::uint32_t getInstances() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -435,6 +495,9 @@
   inline  ::uint32_t getFastestLink();
   inline void setFastestLink( ::uint32_t value);
 
+  inline  ::uint32_t getInstances();
+  inline void setInstances( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -461,6 +524,183 @@
 };
 #endif  // !CAPNP_LITE
 
+class PermitRequest::Reader {
+public:
+  typedef PermitRequest Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber() const;
+
+  inline bool hasTarget() const;
+  inline  ::capnp::Text::Reader getTarget() const;
+
+  inline double getLimit() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PermitRequest::Builder {
+public:
+  typedef PermitRequest Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline bool hasTarget();
+  inline  ::capnp::Text::Builder getTarget();
+  inline void setTarget( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+
+  inline double getLimit();
+  inline void setLimit(double value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PermitRequest::Pipeline {
+public:
+  typedef PermitRequest Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PermitResponse::Reader {
+public:
+  typedef PermitResponse Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber() const;
+
+  inline bool getGranted() const;
+
+  inline  ::uint32_t getRetryAfterMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PermitResponse::Builder {
+public:
+  typedef PermitResponse Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline bool getGranted();
+  inline void setGranted(bool value);
+
+  inline  ::uint32_t getRetryAfterMs();
+  inline void setRetryAfterMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PermitResponse::Pipeline {
+public:
+  typedef PermitResponse Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Replaced::Reader {
 public:
   typedef Replaced Reads;
@@ -1033,6 +1273,114 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool LeadMessage::Reader::isPermitRequest() const {
+  return which() == LeadMessage::PERMIT_REQUEST;
+}
+inline bool LeadMessage::Builder::isPermitRequest() {
+  return which() == LeadMessage::PERMIT_REQUEST;
+}
+inline bool LeadMessage::Reader::hasPermitRequest() const {
+  if (which() != LeadMessage::PERMIT_REQUEST) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool LeadMessage::Builder::hasPermitRequest() {
+  if (which() != LeadMessage::PERMIT_REQUEST) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::snipehall::wire::PermitRequest::Reader LeadMessage::Reader::getPermitRequest() const {
+  KJ_IREQUIRE((which() == LeadMessage::PERMIT_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::snipehall::wire::PermitRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::snipehall::wire::PermitRequest::Builder LeadMessage::Builder::getPermitRequest() {
+  KJ_IREQUIRE((which() == LeadMessage::PERMIT_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::snipehall::wire::PermitRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void LeadMessage::Builder::setPermitRequest( ::snipehall::wire::PermitRequest::Reader value) {
+  _builder.setDataField<LeadMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LeadMessage::PERMIT_REQUEST);
+  ::capnp::_::PointerHelpers< ::snipehall::wire::PermitRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::snipehall::wire::PermitRequest::Builder LeadMessage::Builder::initPermitRequest() {
+  _builder.setDataField<LeadMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LeadMessage::PERMIT_REQUEST);
+  return ::capnp::_::PointerHelpers< ::snipehall::wire::PermitRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void LeadMessage::Builder::adoptPermitRequest(
+    ::capnp::Orphan< ::snipehall::wire::PermitRequest>&& value) {
+  _builder.setDataField<LeadMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LeadMessage::PERMIT_REQUEST);
+  ::capnp::_::PointerHelpers< ::snipehall::wire::PermitRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::snipehall::wire::PermitRequest> LeadMessage::Builder::disownPermitRequest() {
+  KJ_IREQUIRE((which() == LeadMessage::PERMIT_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::snipehall::wire::PermitRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool LeadMessage::Reader::isPermitResponse() const {
+  return which() == LeadMessage::PERMIT_RESPONSE;
+}
+inline bool LeadMessage::Builder::isPermitResponse() {
+  return which() == LeadMessage::PERMIT_RESPONSE;
+}
+inline bool LeadMessage::Reader::hasPermitResponse() const {
+  if (which() != LeadMessage::PERMIT_RESPONSE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool LeadMessage::Builder::hasPermitResponse() {
+  if (which() != LeadMessage::PERMIT_RESPONSE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::snipehall::wire::PermitResponse::Reader LeadMessage::Reader::getPermitResponse() const {
+  KJ_IREQUIRE((which() == LeadMessage::PERMIT_RESPONSE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::snipehall::wire::PermitResponse>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::snipehall::wire::PermitResponse::Builder LeadMessage::Builder::getPermitResponse() {
+  KJ_IREQUIRE((which() == LeadMessage::PERMIT_RESPONSE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::snipehall::wire::PermitResponse>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void LeadMessage::Builder::setPermitResponse( ::snipehall::wire::PermitResponse::Reader value) {
+  _builder.setDataField<LeadMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LeadMessage::PERMIT_RESPONSE);
+  ::capnp::_::PointerHelpers< ::snipehall::wire::PermitResponse>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::snipehall::wire::PermitResponse::Builder LeadMessage::Builder::initPermitResponse() {
+  _builder.setDataField<LeadMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LeadMessage::PERMIT_RESPONSE);
+  return ::capnp::_::PointerHelpers< ::snipehall::wire::PermitResponse>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void LeadMessage::Builder::adoptPermitResponse(
+    ::capnp::Orphan< ::snipehall::wire::PermitResponse>&& value) {
+  _builder.setDataField<LeadMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LeadMessage::PERMIT_RESPONSE);
+  ::capnp::_::PointerHelpers< ::snipehall::wire::PermitResponse>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::snipehall::wire::PermitResponse> LeadMessage::Builder::disownPermitResponse() {
+  KJ_IREQUIRE((which() == LeadMessage::PERMIT_RESPONSE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::snipehall::wire::PermitResponse>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool Report::Reader::hasZone() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1202,6 +1550,124 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Serving::Reader::getInstances() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Serving::Builder::getInstances() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Serving::Builder::setInstances( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PermitRequest::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PermitRequest::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PermitRequest::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PermitRequest::Reader::hasTarget() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PermitRequest::Builder::hasTarget() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PermitRequest::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PermitRequest::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PermitRequest::Builder::setTarget( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PermitRequest::Builder::initTarget(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PermitRequest::Builder::adoptTarget(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PermitRequest::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline double PermitRequest::Reader::getLimit() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double PermitRequest::Builder::getLimit() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void PermitRequest::Builder::setLimit(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PermitResponse::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PermitResponse::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PermitResponse::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PermitResponse::Reader::getGranted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool PermitResponse::Builder::getGranted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void PermitResponse::Builder::setGranted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PermitResponse::Reader::getRetryAfterMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PermitResponse::Builder::getRetryAfterMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void PermitResponse::Builder::setRetryAfterMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Replaced::Reader::getTerm() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/protocol/leader_message_codec.cc
+++ b/src/protocol/leader_message_codec.cc
@@ -6,6 +6,7 @@
 #include <kj/io.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "protocol/lead_message.capnp.h"
@@ -14,6 +15,9 @@
 
 namespace {
 
+// Upper bound of a number of instances that is read from a message.
+constexpr std::uint32_t kMaxInstances = 1'000'000;
+
 capnp::Text::Reader ToText(const std::string& text) {
   return {text.data(), text.size()};
 }
@@ -67,6 +71,7 @@
     auto builder = root.initServing();
     builder.setReader(ToText(serving.relay));
     builder.setFastestLink(serving.fastest_link_mbps);
+    builder.setInstances(static_cast<std::uint32_t>(serving.instances));
   }
   void operator()(const LeaderMovesCompleted& completed) {
     auto fencing_tokens = root.initSettled(
@@ -76,6 +81,19 @@
     }
   }
   void operator()(const LeaderNotServing&) { root.setNotServing(); }
+  void operator()(const LeaderPermitRequest& request) {
+    auto builder = root.initPermitRequest();
+    builder.setNumber(request.number);
+    builder.setTarget(ToText(request.target));
+    builder.setLimit(request.limit);
+  }
+  void operator()(const LeaderPermitResponse& response) {
+    auto builder = root.initPermitResponse();
+    builder.setNumber(response.number);
+    builder.setGranted(response.granted);
+    builder.setRetryAfterMs(
+        static_cast<std::uint32_t>(response.retry_after.count()));
+  }
   void operator()(const LeaderReplaced& replaced) {
     auto builder = root.initReplaced();
     builder.setTerm(replaced.term);
@@ -95,8 +113,11 @@
           ReadLoad(reader.getReport().getLoad()), reader.getReport().getLink()};
       return message;
     case wire::LeadMessage::SERVING:
-      message.content = LeaderServing{FromText(reader.getServing().getReader()),
-                                      reader.getServing().getFastestLink()};
+      message.content = LeaderServing{
+          FromText(reader.getServing().getReader()),
+          reader.getServing().getFastestLink(),
+          static_cast<int>(
+              std::min(reader.getServing().getInstances(), kMaxInstances))};
       return message;
     case wire::LeadMessage::SETTLED: {
       LeaderMovesCompleted completed;
@@ -109,6 +130,23 @@
     case wire::LeadMessage::NOT_SERVING:
       message.content = LeaderNotServing();
       return message;
+    case wire::LeadMessage::PERMIT_REQUEST: {
+      const auto request = reader.getPermitRequest();
+      if (!std::isfinite(request.getLimit()) || request.getLimit() <= 0) {
+        return Fail(ErrorCode::kCorrupt, "lead message: limit out of range");
+      }
+      message.content = LeaderPermitRequest{request.getNumber(),
+                                            FromText(request.getTarget()),
+                                            request.getLimit()};
+      return message;
+    }
+    case wire::LeadMessage::PERMIT_RESPONSE: {
+      const auto response = reader.getPermitResponse();
+      message.content =
+          LeaderPermitResponse{response.getNumber(), response.getGranted(),
+                               Milliseconds(response.getRetryAfterMs())};
+      return message;
+    }
     case wire::LeadMessage::REPLACED:
       message.content =
           LeaderReplaced{reader.getReplaced().getTerm(),
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 
 #include "transport/gateway/gateway_control.h"
@@ -74,6 +75,16 @@
     m_context.on_failed_request = [this](const FailedRequest& request) {
       LogFailedRequest(request);
     };
+    m_context.on_rate_limit = [this](std::string_view target,
+                                     std::optional<double> limit) {
+      m_log.Write("target_rate_limit",
+                  {{"target", target},
+                   {"limit", limit ? std::to_string(*limit) : "none"}});
+    };
+    m_context.request_permit = [this](std::string_view target, double limit,
+                                      PermitRequests::OnResponse on_response) {
+      m_control.RequestPermit(target, limit, std::move(on_response));
+    };
     m_context.on_exception = [this](std::string_view request_id,
                                     std::string_view error) {
       m_log.Write("exception", {{"id", request_id}, {"error", error}});
@@ -162,6 +173,9 @@
       if (!error) {
         RecordEventLoopDelay();
         m_control.ReportLoad(m_context.key_loads.TakeReports());
+        if (const std::optional<int> count = m_control.InstanceCount()) {
+          m_context.rate_limits.set_instance_count(*count);
+        }
         ScheduleReports();
       }
     });
--- a/src/transport/gateway/gateway_context.h
+++ b/src/transport/gateway/gateway_context.h
@@ -11,10 +11,12 @@
 
 #include "coordination/buffer_budget.h"
 #include "coordination/key_load_recorder.h"
+#include "coordination/target_rate_limits.h"
 #include "protocol/gateway_headers.h"
 #include "transport/gateway/gateway_metrics.h"
 #include "transport/gateway/gateway_services.h"
 #include "transport/gateway/gateway_settings.h"
+#include "transport/gateway/permit_requests.h"
 #include "transport/gateway/routing_state.h"
 #include "transport/gateway/service_split.h"
 #include "transport/target_pool.h"
@@ -58,6 +60,7 @@
         metrics(gateway_metrics),
         services(routing_state, settings.zone, settings.retry_limits, seed),
         split(seed),
+        rate_limits(seed),
         response_buffers(settings.response_buffer_bytes) {}
 
   Executor executor;
@@ -68,6 +71,7 @@
   ServiceSplit split;
   TargetPools pools;
   KeyLoadRecorder key_loads;
+  TargetRateLimits rate_limits;
   // Memory for the bodies of targets' responses.
   BufferBudget response_buffers;
   // Open sessions; each adds and removes itself.
@@ -75,6 +79,16 @@
   // Called with the owner of a key when a connection to it fails.
   std::function<void(std::string_view target)> on_target_unreachable;
   std::function<void(const FailedRequest&)> on_failed_request;
+  // Called when a target begins or ends to limit its request rate; `limit` is
+  // in requests per second.
+  std::function<void(std::string_view target, std::optional<double> limit)>
+      on_rate_limit;
+  // Asks the leader for a permit to send a request to `target`, which limits
+  // its request rate; see GatewayControl::RequestPermit().
+  std::function<void(std::string_view target,
+                     double limit,
+                     PermitRequests::OnResponse on_response)>
+      request_permit;
   // Called when an unexpected exception ended the work on a request.
   std::function<void(std::string_view request_id, std::string_view error)>
       on_exception;
--- a/src/transport/gateway/gateway_control.h
+++ b/src/transport/gateway/gateway_control.h
@@ -17,15 +17,18 @@
 #include <variant>
 #include <vector>
 
+#include "coordination/instance_counter.h"
 #include "coordination/key_leader.h"
 #include "coordination/leader_failure_detector.h"
 #include "coordination/relay_planner.h"
+#include "coordination/shared_rate_limiter.h"
 #include "coordination/target_registry.h"
 #include "protocol/key_table_codec.h"
 #include "transport/event_log.h"
 #include "transport/gateway/gateway_metrics.h"
 #include "transport/gateway/gateway_settings.h"
 #include "transport/gateway/leader_link.h"
+#include "transport/gateway/permit_requests.h"
 #include "transport/gateway/relay_server.h"
 #include "transport/gateway/routing_state.h"
 #include "transport/spawn.h"
@@ -174,6 +177,7 @@
       }
       // The leader reads the log in any case, so it is the relay of its zone.
       m_relay_planner.OnReport(now, m_zone, m_peer_address, m_link_mbps);
+      m_instances.OnReport(now, m_instance);
       return;
     }
     if (!m_has_keys || !HasKeyedService()) {
@@ -195,6 +199,29 @@
     }
   }
 
+  // Number of instances, this one included; nothing while it is not known.
+  std::optional<int> InstanceCount() const { return m_instances.Count(Now()); }
+
+  // Asks the leader for a permit to send a request to `target`, which limits
+  // its request rate to `limit` requests per second. `on_response` may be
+  // called before this returns, later, or never when the leader does not
+  // answer.
+  void RequestPermit(std::string_view target,
+                     double limit,
+                     PermitRequests::OnResponse on_response) {
+    const MonotonicTime now = Now();
+    if (m_key_leader.IsNamedLeader()) {
+      const auto wait = m_rate_limiter.TryTake(now, target, limit);
+      on_response({0, !wait.has_value(), wait.value_or(Milliseconds(0))});
+      return;
+    }
+    const std::uint64_t number =
+        m_permit_requests.Add(now, std::move(on_response));
+    m_link.Send(
+        m_state.keys().leader_address,
+        {m_instance, LeaderPermitRequest{number, TargetId(target), limit}});
+  }
+
   // Handles a datagram of another instance. An exception ends the work on this
   // datagram only.
   void OnMessage(const LeaderLink::Endpoint& sender,
@@ -301,9 +328,10 @@
       }
       const std::string relay = m_relay_planner.OnReport(
           now, report->zone, report->relay_address, report->link_mbps);
-      m_link.Send(
-          sender,
-          {m_instance, LeaderServing{relay, m_relay_planner.fastest_link()}});
+      m_instances.OnReport(now, message.from);
+      m_link.Send(sender, {m_instance,
+                           LeaderServing{relay, m_relay_planner.fastest_link(),
+                                         m_instances.Count(now).value_or(0)}});
       m_reporters.insert_or_assign(sender, now);
       std::vector<FencingToken> completed = m_key_leader.CompletedMoves();
       if (!completed.empty()) {
@@ -316,9 +344,26 @@
           message.from,
           RelayPlanner::IsMuchFaster(serving->fastest_link_mbps, m_link_mbps));
       SetRelay(serving->relay);
+      if (serving->instances > 0) {
+        m_instances.OnLeaderCount(serving->instances);
+      }
     } else if (const auto* moves_completed =
                    std::get_if<LeaderMovesCompleted>(&message.content)) {
       m_state.AddCompletedMoves(moves_completed->fencing_tokens);
+    } else if (const auto* permit =
+                   std::get_if<LeaderPermitRequest>(&message.content)) {
+      // An instance that is no longer the leader does not answer, so that the
+      // sender uses its own share of the limit.
+      if (m_key_leader.IsNamedLeader()) {
+        const auto wait =
+            m_rate_limiter.TryTake(now, permit->target, permit->limit);
+        m_link.Send(sender, {m_instance, LeaderPermitResponse{
+                                             permit->number, !wait.has_value(),
+                                             wait.value_or(Milliseconds(0))}});
+      }
+    } else if (const auto* permitted =
+                   std::get_if<LeaderPermitResponse>(&message.content)) {
+      m_permit_requests.Complete(*permitted);
     } else if (std::holds_alternative<LeaderNotServing>(message.content)) {
       m_leader_failure_detector.OnNotServing(message.from);
     } else if (const auto* replaced =
@@ -728,6 +773,9 @@
   // Shared by all feeds.
   std::shared_ptr<RelaySelection> m_relay_selection;
   RelayPlanner m_relay_planner;
+  InstanceCounter m_instances;
+  SharedRateLimiter m_rate_limiter;
+  PermitRequests m_permit_requests;
   // Addresses of the instances that report to this one as the leader, with the
   // time of their last report.
   std::map<LeaderLink::Endpoint, MonotonicTime> m_reporters;
--- a/src/transport/gateway/gateway_router.cc
+++ b/src/transport/gateway/gateway_router.cc
@@ -26,6 +26,9 @@
 // keys have a new owner.
 constexpr Milliseconds kBusyRetryAfter{150};
 constexpr Milliseconds kOwnerRetryAfter{300};
+// Bounds of Retry-After for a target at its rate limit.
+constexpr Milliseconds kMinLimitRetryAfter{50};
+constexpr Milliseconds kMaxLimitRetryAfter{1000};
 
 MonotonicTime Now() {
   return std::chrono::steady_clock::now();
@@ -51,18 +54,32 @@
     }
   }
   while (action == Action::kRetry) {
-    if (m_request.CheckInterrupted()) {
-      action = HandleInterruption();
-    } else if (ChooseTarget(Now())) {
-      action = co_await RunAttempt();
-    } else {
-      const std::string_view cause = m_keyed ? "no owner" : "no target";
-      action = co_await WaitForStateChange(cause, m_context.state.version());
-    }
+    action = co_await TryOnce();
   }
   co_return std::move(m_outcome);
 }
 
+Task<GatewayRouter::Action> GatewayRouter::TryOnce() {
+  if (m_request.interrupted()) {
+    co_return HandleInterruption();
+  }
+  Action action = Action::kRetry;
+  if (!ChooseTarget(Now())) {
+    const std::string_view cause = m_keyed ? "no owner" : "no target";
+    action = co_await WaitForStateChange(cause, m_context.state.version());
+    co_return action;
+  }
+  const bool permitted = co_await AcquirePermit();
+  if (m_request.CheckInterrupted()) {
+    co_return HandleInterruption();
+  }
+  if (!permitted) {
+    co_return HandleRateLimit();
+  }
+  action = co_await RunAttempt();
+  co_return action;
+}
+
 bool GatewayRouter::ChooseTarget(MonotonicTime now) {
   m_chosen_version = m_context.state.version();
   if (m_keyed) {
@@ -95,6 +112,52 @@
   return true;
 }
 
+Task<bool> GatewayRouter::AcquirePermit() {
+  const auto limit = m_context.rate_limits.Limit(m_target.id);
+  if (!limit) {
+    co_return true;
+  }
+  // The callback may be called after this coroutine has ended.
+  const auto response = std::make_shared<std::optional<LeaderPermitResponse>>();
+  if (m_context.request_permit) {
+    m_context.request_permit(m_target.id, *limit,
+                             [this, weak = std::weak_ptr(response)](
+                                 const LeaderPermitResponse& received) {
+                               if (const auto waiting = weak.lock()) {
+                                 *waiting = received;
+                                 m_request.event.Notify();
+                               }
+                             });
+    m_request.SetStepDeadline(Now() + PermitRequests::kResponseTimeout);
+    while (!response->has_value() && !m_request.wait_cancelled()) {
+      co_await m_request.event.Wait();
+    }
+    m_request.ClearStepDeadline();
+  }
+  if (response->has_value()) {
+    m_limit_retry_after = (*response)->retry_after;
+    co_return (*response)->granted;
+  }
+  m_context.metrics.IncrementEvent("permit_response_lost");
+  const MonotonicTime now = Now();
+  m_limit_retry_after = m_context.rate_limits.TimeToNextShare(now, m_target.id);
+  co_return m_context.rate_limits.TryTake(now, m_target.id);
+}
+
+GatewayRouter::Action GatewayRouter::HandleRateLimit() {
+  m_context.metrics.IncrementEvent("rate_limited");
+  const bool other_targets =
+      !m_keyed && std::find(m_tried_targets.begin(), m_tried_targets.end(),
+                            m_target.id) == m_tried_targets.end();
+  if (other_targets) {
+    m_tried_targets.push_back(m_target.id);
+    return Action::kRetry;
+  }
+  return FinishUnavailable("target rate limit",
+                           std::clamp(m_limit_retry_after, kMinLimitRetryAfter,
+                                      kMaxLimitRetryAfter));
+}
+
 Task<GatewayRouter::Action> GatewayRouter::RunAttempt() {
   const std::shared_ptr<TargetPool> pool =
       m_context.pools.Find(m_target.address);
@@ -159,10 +222,12 @@
   Action action = Action::kRetry;
   switch (end) {
     case TargetExchangeResult::kAnswered:
+      RecordRateLimit(exchange.info());
       chooser.OnAnswered(Now(), m_target.id, exchange.info().load);
       RecordServiceTime(exchange, sent);
       co_return AcceptResponse(exchange);
     case TargetExchangeResult::kRefused:
+      RecordRateLimit(exchange.info());
       chooser.OnFailed(Now(), m_target.id);
       action = co_await HandleRefusal(exchange);
       co_return action;
@@ -183,6 +248,14 @@
   co_return HandleInterruption();
 }
 
+void GatewayRouter::RecordRateLimit(const TargetResponseInfo& info) {
+  const bool changed =
+      m_context.rate_limits.OnResponse(Now(), m_target.id, info.rate_limit);
+  if (changed && m_context.on_rate_limit) {
+    m_context.on_rate_limit(m_target.id, info.rate_limit);
+  }
+}
+
 void GatewayRouter::RecordServiceTime(const TargetExchange& exchange,
                                       MonotonicTime sent) {
   const auto& load = exchange.info().load;
--- a/src/transport/gateway/gateway_router.h
+++ b/src/transport/gateway/gateway_router.h
@@ -54,15 +54,24 @@
   // What follows an attempt.
   enum class Action { kRetry, kFinish };
 
+  // Chooses a target and sends it the request, or waits until that is possible.
+  Task<Action> TryOnce();
   // Sets `m_target` to the target of the next attempt. Returns false when none
   // is available now.
   bool ChooseTarget(MonotonicTime now);
   // The same for a keyed service: the owner of the request's key.
   bool ChooseOwner(MonotonicTime now);
+  // Whether `m_target` may be sent the request within its rate limit, if it has
+  // one.
+  Task<bool> AcquirePermit();
+  // What follows if it may not.
+  Action HandleRateLimit();
   // Connects to `m_target` if needed and sends the request once.
   Task<Action> RunAttempt();
   // False when the connection failed or the request was interrupted.
   Task<bool> Connect(TargetPool& pool, ByteStream& stream);
+  // Updates what is known of the target's rate limit after a response.
+  void RecordRateLimit(const TargetResponseInfo& info);
   // Records the service time of a keyed service's target, which the leader uses
   // to balance keys.
   void RecordServiceTime(const TargetExchange& exchange, MonotonicTime sent);
@@ -100,8 +109,11 @@
   // Connections on which a target refused the request. A second copy of the
   // refusal may follow there, which would pass for a response to the retry.
   std::vector<std::weak_ptr<ByteStream>> m_refused_connections;
-  // Targets that refused the request, lost it or could not be reached.
+  // Targets that refused the request, lost it, could not be reached or are at
+  // their rate limits.
   std::vector<TargetId> m_tried_targets;
+  // Time until a target may be sent the request within its rate limit.
+  Milliseconds m_limit_retry_after{0};
   // How often the request was sent.
   int m_attempts = 0;
   std::optional<Milliseconds> m_sent_after;
--- a/tests/process/decoder_fuzz_test.cc
+++ b/tests/process/decoder_fuzz_test.cc
@@ -156,10 +156,12 @@
   std::vector<std::string> samples;
   for (const LeaderMessage& message : std::vector<LeaderMessage>{
            {"a", LeaderReport{"zone", "10.1.0.1:7620", load, 100}},
-           {"b", LeaderServing{"10.1.0.1:7620", 200}},
+           {"b", LeaderServing{"10.1.0.1:7620", 200, 8}},
            {"c", LeaderMovesCompleted{{1, 2, 3}}},
            {"d", LeaderNotServing{}},
-           {"e", LeaderReplaced{4, Milliseconds(900)}}}) {
+           {"e", LeaderReplaced{4, Milliseconds(900)}},
+           {"f", LeaderPermitRequest{7, "target", 3.5}},
+           {"g", LeaderPermitResponse{7, false, Milliseconds(90)}}}) {
     samples.push_back(EncodeLeaderMessage(message));
   }
   Fuzz(samples, [](const std::string& input) {
--- a/tests/process/support/gateway_cluster.cc
+++ b/tests/process/support/gateway_cluster.cc
@@ -88,7 +88,8 @@
 }  // namespace
 
 GatewayCluster::GatewayCluster(const Options& options)
-    : m_initial_refusals(options.initial_refusals) {
+    : m_initial_refusals(options.initial_refusals),
+      m_rate_limit(options.rate_limit) {
   const std::string errors = (m_directory.path() / "errors").string();
   m_store = std::make_unique<Process>(
       std::vector<std::string>{StandinPath("store")}, errors);
@@ -141,7 +142,9 @@
       "--events",
       (m_directory.path() / "events").string(),
       "--refused",
-      std::to_string(m_initial_refusals)};
+      std::to_string(m_initial_refusals),
+      "--rate-limit",
+      m_rate_limit};
   if (target.keyed) {
     arguments.emplace_back("--keyed");
   }
--- a/tests/process/support/gateway_cluster.h
+++ b/tests/process/support/gateway_cluster.h
@@ -26,6 +26,9 @@
     // Number of requests that each target refuses after its start although it
     // has free slots.
     int initial_refusals = 0;
+    // Rate limit that the targets name, requests per second; none if it is
+    // empty.
+    std::string rate_limit;
   };
 
   explicit GatewayCluster(const Options& options);
@@ -103,6 +106,7 @@
   std::unique_ptr<Process> m_store;
   std::string m_store_address;
   int m_initial_refusals = 0;
+  std::string m_rate_limit;
   std::vector<Target> m_targets;
   std::vector<Gateway> m_gateways;
 };
--- a/tests/standins/keyed_target.cc
+++ b/tests/standins/keyed_target.cc
@@ -48,6 +48,9 @@
   // Number of requests after the start that are refused although slots are
   // free.
   std::uint64_t forced_refusals = 0;
+  // Rate limit that it names in its responses, requests per second; none if it
+  // is empty.
+  std::string rate_limit;
 };
 
 std::int64_t NowMs() {
@@ -184,9 +187,16 @@
     HttpResponse response(status, 11);
     response.set(platform::kHeaderNames.not_run.data(), "1");
     response.set(m_names.load.data(), Load());
+    SetRateLimit(response);
     session->Answer(std::move(response));
   }
 
+  void SetRateLimit(HttpResponse& response) const {
+    if (!m_options.rate_limit.empty()) {
+      response.set(m_names.rate_limit.data(), m_options.rate_limit);
+    }
+  }
+
   // Returns the load header: requests running, requests queued and slots.
   std::string Load() const {
     return std::to_string(m_running_count) + ",0," +
@@ -335,6 +345,7 @@
       response.set(m_names.request_id.data(), id);
       response.set(m_names.signature.data(), "by " + m_options.id);
       response.set(m_names.load.data(), Load());
+      SetRateLimit(response);
       response.body() = "answer to " + id;
       session->Answer(std::move(response));
     });
@@ -372,6 +383,7 @@
        {"events", TextOption(&options.events, "file for its events")},
        {"keyed", FlagOption(&options.keyed, "requests belong to keys")},
        {"slots", NumberOption(&options.slots, "requests at a time")},
+       {"rate-limit", TextOption(&options.rate_limit, "requests per second")},
        {"refused", NumberOption(&options.forced_refusals,
                                 "first requests that are refused")},
        {"work-ms", NumberOption(&options.work_ms, "mean time of a request")}});
