Balance keys by the rate limits of their owners

What callers saw: while targets named rate limits, a tenth of the requests was refused although other targets of the service had free slots.

Cause: the leader took a target's service time, which a limit does not change, for its capacity, so its keys stayed there. Class: a capacity known in one place and not used in another.

Change: requests for permits tell the leader the limits; a target's utilization is at least its rate over its limit.

Evidence: key_balancer, keys_move_away_from_a_target_at_its_rate_limit, fails without the change.

--- a/src/coordination/key_balancer.cc
+++ b/src/coordination/key_balancer.cc
@@ -101,7 +101,10 @@
   }
   std::vector<TargetUtilization> utilizations;
   for (const KeyCandidate& candidate : candidates) {
-    const double seconds = load.ServiceSeconds(candidate.id) / candidate.slots;
+    double seconds = load.ServiceSeconds(candidate.id) / candidate.slots;
+    if (candidate.rate_limit) {
+      seconds = std::max(seconds, 1 / *candidate.rate_limit);
+    }
     utilizations.push_back({&candidate, seconds, rates[candidate.id]});
   }
   return utilizations;
@@ -138,6 +141,10 @@
   const double gap = most_loaded.value() - least_loaded.value();
   const double half =
       gap / (most_loaded.seconds_per_slot + least_loaded.seconds_per_slot);
+  if (most_loaded.target->rate_limit) {
+    max_utilization =
+        std::min(max_utilization, KeyBalancer::kMaxUtilizationForLimited);
+  }
   const double headroom =
       (max_utilization - least_loaded.value()) / least_loaded.seconds_per_slot;
   return std::min(half, headroom);
--- a/src/coordination/key_balancer.h
+++ b/src/coordination/key_balancer.h
@@ -14,7 +14,8 @@
 // half of the gap, or to raise the receiving target to the mean utilization
 // plus half of kMinUtilizationGap, so that few keys move. Merges small ranges
 // again once there are many. Utilization is request rate times service time per
-// slot; 1 means that all slots are busy.
+// slot, or request rate by the target's rate limit if that is more; 1 means
+// that all slots are busy.
 class KeyBalancer {
  public:
   // Moves in one plan are limited to one for every kTargetsPerMove targets, and
@@ -26,6 +27,10 @@
   static constexpr double kMinSourceUtilization = 0.45;
   // Minimum difference between the utilizations of two targets for a move.
   static constexpr double kMinUtilizationGap = 0.2;
+  // Up to this utilization, a target takes keys from one that is at its rate
+  // limit. Above it, requests would queue there, which is worse for callers
+  // than to be refused at once.
+  static constexpr double kMaxUtilizationForLimited = 0.8;
   // Maximum number of ranges per target, since each range costs its own
   // renewals.
   static constexpr std::size_t kMaxRangesPerTarget = 10;
--- a/src/coordination/key_leader.cc
+++ b/src/coordination/key_leader.cc
@@ -308,6 +308,16 @@
   return result;
 }
 
+void KeyLeader::OnRateLimit(MonotonicTime now,
+                            std::string_view target,
+                            double limit) {
+  std::erase_if(m_rate_limits, [now](const auto& item) {
+    return now >= item.second.expires_at;
+  });
+  m_rate_limits.insert_or_assign(TargetId(target),
+                                 RateLimit{limit, now + kRateLimitLifetime});
+}
+
 bool KeyLeader::BalanceService(MonotonicTime now,
                                const ServiceName& service,
                                KeyTable& next) const {
@@ -320,6 +330,12 @@
   std::erase_if(candidates, [this](const KeyCandidate& item) {
     return IsUnresponsive(item.id);
   });
+  for (KeyCandidate& candidate : candidates) {
+    const auto limit = m_rate_limits.find(candidate.id);
+    if (limit != m_rate_limits.end() && now < limit->second.expires_at) {
+      candidate.rate_limit = limit->second.limit;
+    }
+  }
   std::vector<KeyAssignment> planned = KeyBalancer::Plan(
       now, ranges->second, candidates, load->second, next.fencing_token);
   if (planned == ranges->second) {
--- a/src/coordination/key_leader.h
+++ b/src/coordination/key_leader.h
@@ -111,6 +111,9 @@
   static constexpr Milliseconds kRenewalInterval{1200};
   // Delay before an order that failed is sent again.
   static constexpr Milliseconds kRetryDelay{300};
+  // How long a rate limit is known after the last request for a permit. Longer
+  // than the pauses between requests to a target with few keys.
+  static constexpr Milliseconds kRateLimitLifetime{5000};
   // Interval between probes of an unresponsive target.
   static constexpr Milliseconds kProbeInterval{500};
   // Minimum interval between two attempts to move keys from busy targets to
@@ -170,6 +173,11 @@
   // leader then probes the target.
   void OnTargetUnreachable(MonotonicTime now, std::string_view target);
 
+  // Call when an instance asks for a permit for a request to the target, which
+  // has named the limit `limit`, requests per second above zero. Its keys are
+  // then balanced by that.
+  void OnRateLimit(MonotonicTime now, std::string_view target, double limit);
+
   // Call once for each order that TakeDueOrders() returned.
   void OnOrderResult(MonotonicTime now,
                      const KeyOrder& order,
@@ -200,6 +208,13 @@
   }
 
  private:
+  // A rate limit that a target has named.
+  struct RateLimit {
+    // Requests per second.
+    double limit = 0;
+    MonotonicTime expires_at;
+  };
+
   using RangeId = std::pair<ServiceName, KeyNumber>;
 
   // What the leader knows about a range of the table.
@@ -306,6 +321,7 @@
   std::map<RangeId, RangeState> m_ranges;
   std::map<ServiceName, KeyLoad, std::less<>> m_loads;
   MonotonicTime m_next_balance_at;
+  std::map<TargetId, RateLimit, std::less<>> m_rate_limits;
   // When completed moves may be recorded again; see kMoveCompletionInterval.
   MonotonicTime m_next_completion_at;
   // When the last grant to each target expires, and how many grants to it are
--- a/src/coordination/key_planner.h
+++ b/src/coordination/key_planner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -14,6 +15,8 @@
   std::int64_t start_time_ms = 0;
   // Number of requests that it runs concurrently.
   int slots = 1;
+  // Rate limit that it has named, requests per second; no value without one.
+  std::optional<double> rate_limit = std::nullopt;
 };
 
 // Returns the assignments of one service for a changed set of candidates.
--- a/src/transport/gateway/gateway_control.h
+++ b/src/transport/gateway/gateway_control.h
@@ -209,14 +209,13 @@
   void RequestPermit(std::string_view target,
                      double limit,
                      PermitRequests::OnResponse on_response) {
-    const MonotonicTime now = Now();
     if (m_key_leader.IsNamedLeader()) {
-      const auto wait = m_rate_limiter.TryTake(now, target, limit);
+      const auto wait = TakePermit(target, limit);
       on_response({0, !wait.has_value(), wait.value_or(Milliseconds(0))});
       return;
     }
     const std::uint64_t number =
-        m_permit_requests.Add(now, std::move(on_response));
+        m_permit_requests.Add(Now(), std::move(on_response));
     m_link.Send(
         m_state.keys().leader_address,
         {m_instance, LeaderPermitRequest{number, TargetId(target), limit}});
@@ -355,8 +354,7 @@
       // An instance that is no longer the leader does not answer, so that the
       // sender uses its own share of the limit.
       if (m_key_leader.IsNamedLeader()) {
-        const auto wait =
-            m_rate_limiter.TryTake(now, permit->target, permit->limit);
+        const auto wait = TakePermit(permit->target, permit->limit);
         m_link.Send(sender, {m_instance, LeaderPermitResponse{
                                              permit->number, !wait.has_value(),
                                              wait.value_or(Milliseconds(0))}});
@@ -372,6 +370,14 @@
     }
   }
 
+  // Takes a permit as the leader; see SharedRateLimiter::TryTake().
+  std::optional<Milliseconds> TakePermit(std::string_view target,
+                                         double limit) {
+    const MonotonicTime now = Now();
+    m_key_leader.OnRateLimit(now, target, limit);
+    return m_rate_limiter.TryTake(now, target, limit);
+  }
+
   bool HasTarget(std::string_view service) const {
     for (const auto& [id, target] : m_state.targets()) {
       if (target.service == service) {
--- a/tests/unit/key_balancer_test.cc
+++ b/tests/unit/key_balancer_test.cc
@@ -83,6 +83,36 @@
                KeyBalancer::kMinSourceUtilization);
 }
 
+// Guards against requests that are refused at a target at its rate limit while
+// others have free slots: two targets with the same load, one of which takes
+// less than half of it.
+Test(key_balancer, keys_move_away_from_a_target_at_its_rate_limit) {
+  constexpr double kLimit = 3;
+  auto targets = MakeTargets(4);
+  FencingToken fencing_token = 0;
+  const auto ranges = PlanFirstKeys(targets, fencing_token);
+  KeyLoad load;
+  ReportRequests(load, ranges[0].first, ranges[0].first + 15, 1);
+  ReportRequests(load, ranges[1].first, ranges[1].first + 15, 1);
+  cr_assert(Plan(targets, ranges, load, fencing_token) == ranges,
+            "keys moved although no target is busy");
+  targets[0].rate_limit = kLimit;
+  auto planned = ranges;
+  for (int i = 0; i < 5; ++i) {
+    planned = Plan(targets, planned, load, fencing_token);
+    for (KeyAssignment& range : planned) {
+      range.previous_owner.clear();
+    }
+  }
+  double rate = 0;
+  for (const KeyAssignment& range : planned) {
+    if (range.owner == targets[0].id) {
+      rate += load.Rate(kNow, range.first, range.last);
+    }
+  }
+  cr_assert_leq(rate, kLimit);
+}
+
 // Guards against a load peak that is over before its keys are spread: one plan
 // must be enough for adjacent busy keys on one of many targets.
 Test(key_balancer, one_plan_spreads_adjacent_busy_keys) {
