Send a request at most once to a target that is not its owner

Cause: a crashed owner's address was given to a target of another service. That one answers 421; the gateway took it for a key that had just moved, waited up to 100 ms and sent the request to the same address again. The retries were counted for the service of the request and arrived at another. Class: a retry without a reason for another result.

Change: after status 421 the same target gets the request again only under a new token or at another address.

--- a/src/transport/gateway/gateway_router.cc
+++ b/src/transport/gateway/gateway_router.cc
@@ -93,7 +93,7 @@
     return false;
   }
   m_target = m_service->targets[*index];
-  return true;
+  return !IsMisdirected(m_target, m_fencing_token);
 }
 
 bool GatewayRouter::ChooseOwner(MonotonicTime /*now*/) {
@@ -109,7 +109,15 @@
   }
   const ListedTarget& owner = found->second;
   m_target = {owner.id, owner.zone, owner.address, owner.draining};
-  return true;
+  m_fencing_token = range->fencing_token;
+  return !IsMisdirected(m_target, m_fencing_token);
+}
+
+bool GatewayRouter::IsMisdirected(const RouteTarget& target,
+                                  FencingToken token) const {
+  return std::find(m_misdirections.begin(), m_misdirections.end(),
+                   Misdirection{target.id, target.address, token}) !=
+         m_misdirections.end();
 }
 
 Task<bool> GatewayRouter::AcquirePermit() {
@@ -300,6 +308,9 @@
   m_tried_targets.push_back(m_target.id);
   m_context.metrics.IncrementEvent("target_refused");
   const bool not_owner = exchange.status() == 421;
+  if (not_owner) {
+    m_misdirections.push_back({m_target.id, m_target.address, m_fencing_token});
+  }
   // Sending to a full owner again would only add to its load.
   const bool full = !m_target_load || m_target_load->IsFull();
   if ((m_keyed && !not_owner && full) || !TryTakeRetry(Now())) {
--- a/src/transport/gateway/gateway_router.h
+++ b/src/transport/gateway/gateway_router.h
@@ -51,6 +51,9 @@
   std::optional<Milliseconds> sent_after() const { return m_sent_after; }
 
  private:
+  // Whether the current target has stated that the request does not belong to
+  // it.
+  bool IsMisdirected(const RouteTarget& target, FencingToken token) const;
   // What follows an attempt.
   enum class Action { kRetry, kFinish };
 
@@ -103,12 +106,29 @@
   GatewayService* m_service = nullptr;
   bool m_keyed = false;
   RouteTarget m_target;
+  // Token of the assignment from which the owner was chosen; zero for a service
+  // without keys.
+  FencingToken m_fencing_token = 0;
   std::optional<ReportedLoad> m_target_load;
   // Version of the routing state from which the target was chosen.
   std::uint64_t m_chosen_version = 0;
   // Connections on which a target refused the request. A second copy of the
   // refusal may follow there, which would pass for a response to the retry.
   std::vector<std::weak_ptr<ByteStream>> m_refused_connections;
+  // An assignment of the request's key whose target said that it is not the
+  // owner, or that another target has its address now.
+  struct Misdirection {
+    TargetId target;
+    std::string address;
+    // Zero for a service without keys.
+    FencingToken fencing_token = 0;
+
+    bool operator==(const Misdirection&) const = default;
+  };
+
+  // Targets to which the request is not sent again unless they get its key
+  // anew.
+  std::vector<Misdirection> m_misdirections;
   // Targets that refused the request, lost it, could not be reached or are at
   // their rate limits.
   std::vector<TargetId> m_tried_targets;
