Divide the fixed part of the retry budget by the number of instances

Change: the settings hold the whole fixed part; each instance takes its share of the number of instances that the leader tells, and none before it knows.

--- a/src/coordination/shared_retry_budget.cc
+++ b/src/coordination/shared_retry_budget.cc
@@ -36,8 +36,9 @@
     requests += slice.requests;
     retries += slice.retries;
   }
+  const double base = m_instances ? m_limits.base / *m_instances : 0;
   const double allowed =
-      m_limits.safety_factor * (m_limits.ratio * requests + m_limits.base);
+      m_limits.safety_factor * (m_limits.ratio * requests + base);
   if (retries + 1 > allowed) {
     return false;
   }
--- a/src/coordination/shared_retry_budget.h
+++ b/src/coordination/shared_retry_budget.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 
 #include "state/types.h"
 
@@ -15,8 +16,7 @@
   struct Limits {
     // Retries allowed for each request.
     double ratio = 0.2;
-    // Additional retries allowed per window: this instance's share of the fixed
-    // allowance of all instances.
+    // Additional retries allowed per window, by all instances together.
     double base = 0;
     Milliseconds window{10000};
     // Fraction of `ratio` and `base` that is used, so that the budget holds
@@ -27,6 +27,9 @@
   explicit SharedRetryBudget(Limits limits) : m_limits(limits) {}
 
   void set_limits(Limits limits) { m_limits = limits; }
+  // Sets the number of instances among which the fixed allowance is divided, at
+  // least 1. None of it is used until the number is known.
+  void set_instance_count(int count) { m_instances = count; }
 
   // Call once for each request, not for its retries.
   void OnRequest(MonotonicTime now);
@@ -47,6 +50,7 @@
   Slice& Current(MonotonicTime now);
 
   Limits m_limits;
+  std::optional<int> m_instances;
   std::deque<Slice> m_slices;
 };
 
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -173,14 +173,21 @@
       if (!error) {
         RecordEventLoopDelay();
         m_control.ReportLoad(m_context.key_loads.TakeReports());
-        if (const std::optional<int> count = m_control.InstanceCount()) {
-          m_context.rate_limits.set_instance_count(*count);
-        }
+        ApplyInstanceCount();
         ScheduleReports();
       }
     });
   }
 
+  // Divides what all instances share by their number, once it is known.
+  void ApplyInstanceCount() {
+    if (const std::optional<int> count = m_control.InstanceCount()) {
+      m_metrics.SetGauge("instances", *count);
+      m_context.services.SetInstanceCount(*count);
+      m_context.rate_limits.set_instance_count(*count);
+    }
+  }
+
   void RecordEventLoopDelay() {
     const auto delay = Now() - m_report_timer.expiry();
     m_metrics.RecordEventLoopDelay(
--- a/src/transport/gateway/gateway_services.cc
+++ b/src/transport/gateway/gateway_services.cc
@@ -37,6 +37,13 @@
   }
 }
 
+void GatewayServices::SetInstanceCount(int count) {
+  m_instances = count;
+  for (const auto& [name, service] : m_services) {
+    service->retry_budget.set_instance_count(count);
+  }
+}
+
 void GatewayServices::Update(MonotonicTime now) {
   m_applied_version = m_state.version();
   if (!m_state.policy()) {
@@ -63,6 +70,9 @@
       service = std::make_unique<GatewayService>(
           name, TargetChooser::Create(std::move(options)).value(),
           SharedRetryBudget(m_retry_limits));
+      if (m_instances) {
+        service->retry_budget.set_instance_count(*m_instances);
+      }
     }
     service->chooser.SetTargets(now, targets);
     service->targets = std::move(targets);
--- a/src/transport/gateway/gateway_services.h
+++ b/src/transport/gateway/gateway_services.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -39,6 +40,9 @@
   // Changes the retry limits of all services; counts are kept.
   void SetRetryLimits(SharedRetryBudget::Limits limits);
 
+  // Sets the number of instances that share the retry budgets, at least 1.
+  void SetInstanceCount(int count);
+
   // The service with its current targets, or null when the configuration has no
   // such service. The pointer stays valid as long as this object.
   GatewayService* Find(MonotonicTime now, std::string_view name);
@@ -50,6 +54,7 @@
   const RoutingState& m_state;
   ZoneName m_own_zone;
   SharedRetryBudget::Limits m_retry_limits;
+  std::optional<int> m_instances;
   std::uint64_t m_seed;
   // Version of the routing state of the last Update().
   std::uint64_t m_applied_version = 0;
--- a/src/transport/gateway/gateway_settings.h
+++ b/src/transport/gateway/gateway_settings.h
@@ -22,7 +22,7 @@
   std::string peer_address;
   // "address:port" of the platform's log.
   std::string log_address;
-  // Limits of this instance's share of retries; see SharedRetryBudget.
+  // Limits of the retries of all instances; see SharedRetryBudget.
   SharedRetryBudget::Limits retry_limits;
   // Network link of the instance, Mbit/s; zero when unknown. Instances with
   // faster links are preferred as the leader and as relays of the log.
--- a/tests/process/gateway_settings_test.cc
+++ b/tests/process/gateway_settings_test.cc
@@ -45,6 +45,30 @@
   }
 }
 
+// Load: the same, after the leader told every instance how many there are.
+Test(gateway_settings, instances_share_the_whole_base_of_the_retry_budget) {
+  const GatewaySettings settings = Settings();
+  for (const int instances : {1, 9, 61, 195, 300}) {
+    SharedRetryBudget budget(settings.retry_limits);
+    budget.set_instance_count(instances);
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    int requests = 0;
+    int retries = 0;
+    for (; retries == 0; ++requests) {
+      budget.OnRequest(now);
+      while (budget.TryTake(now)) {
+        ++retries;
+      }
+    }
+    const double allowed = 0.2 * requests * instances + kSharedBase;
+    cr_assert(retries * instances <= allowed,
+              "%d instances send %d retries, %.0f are allowed", instances,
+              retries * instances, allowed);
+    cr_assert(requests <= 8, "%d instances need %d requests each for a retry",
+              instances, requests);
+  }
+}
+
 Test(gateway_settings, responses_take_a_part_of_the_memory) {
   cr_assert(Settings().response_buffer_bytes == std::size_t{20} << 20);
 }
--- a/tests/process/gateway_test.cc
+++ b/tests/process/gateway_test.cc
@@ -92,6 +92,10 @@
                           .unkeyed_targets = 0,
                           .initial_refusals = 1});
   cluster.WaitUntilReady(Clock::now() + seconds(15));
+  // The budget for retries is divided by the number of instances.
+  Require(WaitUntil(Clock::now() + seconds(10),
+                    [&] { return cluster.Metric(0, "instances") == 1; }),
+          "the number of instances is not known");
   HttpClient client(cluster.address(0));
   const auto reply =
       client.Send(CatalogRequest(1, 1), Clock::now() + seconds(4));
--- a/tests/process/support/gateway_cluster.cc
+++ b/tests/process/support/gateway_cluster.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <set>
 
@@ -175,6 +176,19 @@
   return table ? table.value().leader : std::string();
 }
 
+std::optional<double> GatewayCluster::Metric(std::size_t gateway,
+                                             const std::string& name) const {
+  HttpClient client(m_gateways[gateway].status_address);
+  const auto reply = client.Send({.path = "/metrics"},
+                                 Clock::now() + std::chrono::milliseconds(500));
+  const std::string label = "{name=\"" + name + "\"} ";
+  const std::size_t found = reply ? reply->body.find(label) : std::string::npos;
+  if (found == std::string::npos) {
+    return std::nullopt;
+  }
+  return std::strtod(reply->body.c_str() + found + label.size(), nullptr);
+}
+
 void GatewayCluster::Signal(std::size_t gateway, int signal) {
   m_gateways[gateway].process->Signal(signal);
 }
--- a/tests/process/support/gateway_cluster.h
+++ b/tests/process/support/gateway_cluster.h
@@ -50,6 +50,11 @@
     return m_gateways[gateway].name;
   }
 
+  // Value of the gateway's gauge `name`; nothing if it has none or does not
+  // answer.
+  std::optional<double> Metric(std::size_t gateway,
+                               const std::string& name) const;
+
   // Sends a signal to the gateway's process.
   void Signal(std::size_t gateway, int signal);
   // Waits until the gateway's process has ended. Returns what Process::Wait()
--- a/tests/unit/support/gateway_fixture.h
+++ b/tests/unit/support/gateway_fixture.h
@@ -80,6 +80,7 @@
           {.first = 0, .last = kLastKey, .owner = "target-0"}};
       m_state.SetKeys(std::move(table));
     }
+    m_context.services.SetInstanceCount(1);
     m_context.rate_limits.set_instance_count(1);
     m_server->Start();
     m_thread = std::thread([this] { m_io.run(); });
