Forget the rate limits of targets that left

A target that left while it named a limit stayed in the table of its instance for good. Limits are now kept for listed targets only, checked with each load report. Found by reading the change; no failure was seen.

--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -174,6 +174,9 @@
         RecordEventLoopDelay();
         m_control.ReportLoad(m_context.key_loads.TakeReports());
         ApplyInstanceCount();
+        m_context.rate_limits.Retain([this](const TargetId& id) {
+          return m_state.targets().contains(id);
+        });
         ScheduleReports();
       }
     });
--- a/tests/unit/target_rate_limits_test.cc
+++ b/tests/unit/target_rate_limits_test.cc
@@ -102,6 +102,15 @@
   cr_assert(!limits.Limit("target").has_value());
 }
 
+Test(target_rate_limits, limits_of_targets_that_left_are_forgotten) {
+  TargetRateLimits limits(1);
+  limits.OnResponse(MonotonicTime(), "left", 1.0);
+  limits.OnResponse(MonotonicTime(), "stayed", 1.0);
+  limits.Retain([](const TargetId& id) { return id == "stayed"; });
+  cr_assert(!limits.Limit("left").has_value());
+  cr_assert(limits.Limit("stayed").has_value());
+}
+
 // The end of a limit shows only in a response.
 Test(target_rate_limits, target_that_takes_nothing_is_asked_now_and_then) {
   Instances instances(8, 0, 1);
