--- a/src/coordination/instance_counter.h
+++ b/src/coordination/instance_counter.h
@@ -10,8 +10,8 @@
 
 // Counts the instances of the deployment. The leader counts those that report
 // to it and tells them the number; the others keep what the leader told them
-// last. Quantities that all instances share are divided by it, so it errs on the
-// high side.
+// last. Quantities that all instances share are divided by it, so it errs on
+// the high side.
 class InstanceCounter {
  public:
   // An instance counts for this long after its last report. Longer than a
