Log when a topic of the log was restored from an older copy

Event log_restored, gauge log_era by topic; keys_append_failed names the expected end, the term and the token. Nothing decides by the era yet.

--- a/src/state/record_page.h
+++ b/src/state/record_page.h
@@ -25,6 +25,9 @@
   // When the log's response arrived, at this instance or at the one that relays
   // it.
   MonotonicTime received_at;
+  // Era of the log in which the topic was read. Offsets of different eras are
+  // not comparable.
+  LogEra era = 0;
   // Offset of the next record of the topic, after those of this page.
   std::uint64_t end_offset = 0;
   std::vector<KeyedRecord> records;
--- a/src/state/types.h
+++ b/src/state/types.h
@@ -11,6 +11,12 @@
 // it assigns.
 using LogOffset = std::uint64_t;
 
+// Number of times that the platform's log was restored from an older copy, plus
+// a constant. Records that were appended after the copy was made are lost then,
+// also acknowledged ones, and their offsets are assigned again. Zero while the
+// log does not count its restores.
+using LogEra = std::uint64_t;
+
 // Random number that a process chooses at its start, to distinguish it from
 // earlier processes of the same instance.
 using Incarnation = std::uint64_t;
--- a/src/transport/gateway/gateway_control.h
+++ b/src/transport/gateway/gateway_control.h
@@ -395,6 +395,7 @@
     return {
         [this, topic, on_page](const RecordPage& page, bool whole) {
           RecordDependency(topic, std::nullopt);
+          RecordEra(topic, page);
           RunGuarded(topic, [&] { (this->*on_page)(page, whole); });
           if (!page.records.empty()) {
             m_relay_server.Notify();
@@ -462,6 +463,22 @@
     }
   }
 
+  // Logs when a topic was restored from an older copy.
+  void RecordEra(const std::string& topic, const RecordPage& page) {
+    const auto [known, first] = m_eras.try_emplace(topic, page.era);
+    if (!first && known->second != page.era) {
+      m_log.Write("log_restored",
+                  {{"topic", topic},
+                   {"era", std::to_string(page.era)},
+                   {"before", std::to_string(known->second)},
+                   {"end", std::to_string(page.end_offset)},
+                   {"term", std::to_string(m_state.keys().term)},
+                   {"fence", std::to_string(m_state.keys().fencing_token)}});
+      known->second = page.era;
+    }
+    m_metrics.SetGauge("log_era " + topic, static_cast<double>(page.era));
+  }
+
   void OnPolicyPage(const RecordPage& page, bool /*whole*/) {
     for (const KeyedRecord& record : page.records) {
       if (record.key != m_platform.policy_key() || record.value.empty()) {
@@ -689,7 +706,11 @@
     } else if (end.has_error()) {
       // The key feed will show whether a table was appended, by this instance
       // or another one.
-      m_log.Write("keys_append_failed", {{"error", end.error().message}});
+      m_log.Write("keys_append_failed",
+                  {{"error", end.error().message},
+                   {"at", std::to_string(at)},
+                   {"term", std::to_string(table.term)},
+                   {"fence", std::to_string(table.fencing_token)}});
       boost::asio::steady_timer pause(m_executor, kLeaderCheckInterval * 3);
       co_await pause.async_wait(
           boost::asio::as_tuple(boost::asio::use_awaitable));
@@ -775,6 +796,8 @@
   std::map<std::string, std::vector<std::shared_ptr<Orders>>> m_order_clients;
   // Whether the last read of each topic failed, by its name in event logs.
   std::map<std::string, bool> m_lost_topics;
+  // Era of the last read of each topic.
+  std::map<std::string, LogEra> m_eras;
   boost::asio::steady_timer m_leader_timer;
   // Shared by all feeds.
   std::shared_ptr<RelaySelection> m_relay_selection;
