--- a/tests/soak/soak_checks.cc
+++ b/tests/soak/soak_checks.cc
@@ -21,6 +21,40 @@
   std::int64_t first = 0;
   std::int64_t last = 0;
   std::int64_t until_ms = 0;
+  std::int64_t fencing_token = 0;
+};
+
+// The fencing tokens with which each target was granted keys.
+class TokenHistory {
+ public:
+  // Records a grant. Returns the target that had one of the keys with the same
+  // or a greater token before; empty if none had.
+  std::string Add(const std::string& target, const KeyLease& lease) {
+    const auto conflict =
+        std::find_if(m_grants.begin(), m_grants.end(), [&](const Grant& known) {
+          return known.target != target && known.first <= lease.last &&
+                 lease.first <= known.last &&
+                 known.fencing_token >= lease.fencing_token;
+        });
+    std::string other;
+    if (conflict != m_grants.end()) {
+      other = conflict->target;
+    }
+    m_grants.insert({target, lease.first, lease.last, lease.fencing_token});
+    return other;
+  }
+
+ private:
+  struct Grant {
+    std::string target;
+    std::int64_t first = 0;
+    std::int64_t last = 0;
+    std::int64_t fencing_token = 0;
+
+    auto operator<=>(const Grant&) const = default;
+  };
+
+  std::set<Grant> m_grants;
 };
 
 // The key leases of each target, according to the events read so far.
@@ -90,14 +124,26 @@
                                      std::vector<std::string>& violations) {
   std::map<std::string, int> runs;
   KeyLeases leases_by_target;
+  TokenHistory tokens;
   for (const std::string& line : events) {
     const json::object event = json::parse(line).as_object();
     const std::string kind = StringField(event, "event");
     const std::string target = StringField(event, "target");
     if (kind == "grant") {
-      leases_by_target.Add(
-          target, {IntegerField(event, "first"), IntegerField(event, "last"),
-                   IntegerField(event, "until_ms")});
+      const KeyLease lease{
+          IntegerField(event, "first"), IntegerField(event, "last"),
+          IntegerField(event, "until_ms"), IntegerField(event, "fence")};
+      leases_by_target.Add(target, lease);
+      // An expired lease is that of a target which was stopped meanwhile.
+      const std::string other = lease.until_ms > IntegerField(event, "ms")
+                                    ? tokens.Add(target, lease)
+                                    : std::string();
+      if (!other.empty()) {
+        violations.push_back("token " + std::to_string(lease.fencing_token) +
+                             " of " + target + " for keys from " +
+                             std::to_string(lease.first) +
+                             " is not above that of " + other);
+      }
     } else if (kind == "release") {
       leases_by_target.Remove(target, IntegerField(event, "first"),
                               IntegerField(event, "last"));
--- a/tests/soak/soak_checks.h
+++ b/tests/soak/soak_checks.h
@@ -20,7 +20,8 @@
 };
 
 // Checks the gateway's guarantees against the requests of the clients and the
-// events of the targets: each key has one owner at a time, non-idempotent
+// events of the targets: each key has one owner at a time, each owner gets a
+// greater token than all targets that owned the key before, non-idempotent
 // requests run at most once, requests refused as not run did not run, and each
 // success comes from a target. `events` are JSON objects in the order in which
 // the targets wrote them. Returns a description of each violation.
--- a/tests/standins/store.cc
+++ b/tests/standins/store.cc
@@ -40,7 +40,9 @@
 // Stand-in for the platform's store: topics of keyed records with one partition
 // each. An append may be conditional on the topic's end offset, and a read can
 // wait for a new record. Responses to appends can be dropped after the append
-// took effect.
+// took effect. The store can be restored from an older copy, which loses the
+// records that instances have appended since; the operator and the targets
+// append theirs again. All responses have the number of restores.
 class Store {
  public:
   explicit Store(asio::io_context& context)
@@ -61,6 +63,11 @@
       });
     } else if (post && path == "/test/expire") {
       DiscardOldRecords(session);
+    } else if (post && path == "/test/copy") {
+      m_copy = m_topics;
+      Answer(session, JsonAnswer(http::status::ok, "{}"));
+    } else if (post && path == "/test/restore") {
+      Restore(session);
     } else if (m_outage.Intercept(session)) {
       return;
     } else if (post && path == "/-/log-append") {
@@ -70,7 +77,7 @@
     } else if (path == "/-/log-newest") {
       ReadNewest(session);
     } else {
-      session->Answer(ErrorAnswer(http::status::not_found, "unknown path"));
+      Answer(session, ErrorAnswer(http::status::not_found, "unknown path"));
     }
   }
 
@@ -86,6 +93,7 @@
 
     std::uint64_t end() const { return first_offset + records.size(); }
   };
+  using Topics = std::map<std::string, Topic>;
 
   // Read request that waits for a new record until a deadline.
   struct PendingRead {
@@ -95,6 +103,30 @@
     steady_clock::time_point deadline;
   };
 
+  // Sends a response with the era of the store.
+  void Answer(const std::shared_ptr<HttpSession>& session,
+              HttpResponse response) const {
+    response.set(kEraHeader, std::to_string(m_era));
+    session->Answer(std::move(response));
+  }
+
+  // Replaces all topics by their copies. Pending reads are aborted.
+  void Restore(const std::shared_ptr<HttpSession>& session) {
+    ++m_era;
+    Topics lost = std::exchange(m_topics, m_copy);
+    for (const char* name : {kOperatorTopic, kTargetTopic}) {
+      for (const auto& [key, record] : lost[name].newest_by_key) {
+        AddRecord(m_topics[name], std::string(1, static_cast<char>(key.size()))
+                                      .append(key)
+                                      .append(record.second));
+      }
+    }
+    for (const PendingRead& pending_read : std::exchange(m_pending_reads, {})) {
+      pending_read.session->Abort();
+    }
+    Answer(session, JsonAnswer(http::status::ok, "{}"));
+  }
+
   // Appends the records of the body, each with a 4-byte big-endian length
   // prefix. Refuses them if `At` is given and is not the end offset of the
   // topic.
@@ -104,9 +136,9 @@
     Topic& topic = m_topics[name];
     const auto at = QueryNumber(request, "At", topic.end());
     if (at != topic.end()) {
-      session->Answer(
-          JsonAnswer(http::status::precondition_failed,
-                     json::serialize(json::object{{"End", topic.end()}})));
+      Answer(session,
+             JsonAnswer(http::status::precondition_failed,
+                        json::serialize(json::object{{"End", topic.end()}})));
       return;
     }
     const std::uint64_t offset = topic.end();
@@ -123,9 +155,9 @@
       session->Abort();
       return;
     }
-    session->Answer(JsonAnswer(
-        http::status::ok, json::serialize(json::object{{"Offset", offset},
-                                                       {"End", topic.end()}})));
+    Answer(session, JsonAnswer(http::status::ok,
+                               json::serialize(json::object{
+                                   {"Offset", offset}, {"End", topic.end()}})));
   }
 
   // Appends a record and updates the newest record of its key. A record without
@@ -154,10 +186,12 @@
         steady_clock::now() +
         milliseconds(QueryNumber(request, "WaitMs", 0).value_or(0));
     Topic& topic = m_topics[pending_read.topic];
-    if (pending_read.from < topic.first_offset) {
-      session->Answer(JsonAnswer(
-          http::status::gone,
-          json::serialize(json::object{{"First", topic.first_offset}})));
+    if (pending_read.from < topic.first_offset ||
+        pending_read.from > topic.end()) {
+      Answer(session,
+             JsonAnswer(
+                 http::status::gone,
+                 json::serialize(json::object{{"First", topic.first_offset}})));
       return;
     }
     if (topic.end() > pending_read.from ||
@@ -192,7 +226,7 @@
     }
     HttpResponse response(http::status::ok, 11);
     response.body() = std::move(body);
-    pending_read.session->Answer(std::move(response));
+    Answer(pending_read.session, std::move(response));
   }
 
   // Answers the pending reads of a topic for which a record is available.
@@ -226,11 +260,11 @@
                                    {"Value", std::string(value.cStr())},
                                    {"Offset", record.first}});
     }
-    session->Answer(
-        JsonAnswer(http::status::ok,
-                   json::serialize(json::object{{"items", std::move(items)},
-                                                {"HasMore", false},
-                                                {"End", topic.end()}})));
+    Answer(session,
+           JsonAnswer(http::status::ok,
+                      json::serialize(json::object{{"items", std::move(items)},
+                                                   {"HasMore", false},
+                                                   {"End", topic.end()}})));
   }
 
   // Periodically removes targets whose last registration is older than three
@@ -263,16 +297,22 @@
       topic.first_offset = topic.end();
       topic.records.clear();
     }
-    session->Answer(JsonAnswer(http::status::ok, "{}"));
+    Answer(session, JsonAnswer(http::status::ok, "{}"));
   }
 
+  static constexpr const char* kOperatorTopic = "keyed.op";
   static constexpr const char* kTargetTopic = "keyed.servers";
+  // Header with the era: one more after each restore.
+  static constexpr const char* kEraHeader = "Store-Era";
   // Three registration intervals of the keyed target stand-in.
   static constexpr milliseconds kTargetLifetime{900};
 
   asio::io_context& m_context;
   asio::steady_timer m_expiry_timer;
-  std::map<std::string, Topic> m_topics;
+  Topics m_topics;
+  // The copy for the next restore.
+  Topics m_copy;
+  std::uint64_t m_era = 1;
   std::list<PendingRead> m_pending_reads;
   Outage m_outage;
   // Number of following appends whose responses are dropped.
