Grant no keys to an owner from which a pending append takes them

Two targets could hold the same keys after a leader had terminated.

Cause: a leader proposes a table that gives the keys of an unresponsive target, whose grant has expired, to another one. While that table is being appended, the target answers again and gets a new grant by the old table. The leader itself remembers that; but if it terminates and the append takes effect seconds later, its successor reads a table without a former owner and grants the keys at once.

Change: a range that a proposed table gives to another target without a release gets no grants until another version of the table is known. If the append failed, the leader appends a version in any case, which rules the earlier one out.

--- a/src/coordination/key_leader.cc
+++ b/src/coordination/key_leader.cc
@@ -137,6 +137,7 @@
       }
       state.fencing_token = item.fencing_token;
       state.last = item.last;
+      state.reassigned = false;
       ranges.emplace(RangeId(service, item.first), std::move(state));
     }
   }
@@ -466,7 +467,12 @@
     next.owners_unknown = false;
   }
   const bool completed = CompleteMoves(next);
-  bool changed = m_superseded || (completed && now >= m_next_completion_at) ||
+  // An append of any version rules out one that failed before.
+  const bool reassigned =
+      std::any_of(m_ranges.begin(), m_ranges.end(),
+                  [](const auto& item) { return item.second.reassigned; });
+  bool changed = m_superseded || reassigned ||
+                 (completed && now >= m_next_completion_at) ||
                  next.owners_unknown != m_table.owners_unknown;
   changed = RaiseTokens(now, next) || changed;
   for (const ServiceName& service : m_services) {
@@ -485,9 +491,29 @@
   if (completed) {
     m_next_completion_at = now + kMoveCompletionInterval;
   }
+  MarkReassigned(next);
   return next;
 }
 
+void KeyLeader::MarkReassigned(const KeyTable& next) {
+  for (const auto& [service, ranges] : m_table.services) {
+    const auto planned = next.services.find(service);
+    for (const KeyAssignment& item : ranges) {
+      const auto state = m_ranges.find({service, item.first});
+      if (state == m_ranges.end() || planned == next.services.end()) {
+        continue;
+      }
+      const auto gives_away = [&item](const KeyAssignment& range) {
+        return range.first <= item.last && item.first <= range.last &&
+               range.owner != item.owner && range.previous_owner != item.owner;
+      };
+      state->second.reassigned = state->second.reassigned ||
+                                 std::any_of(planned->second.begin(),
+                                             planned->second.end(), gives_away);
+    }
+  }
+}
+
 KeyTable KeyLeader::TakeOverTable() const {
   KeyTable next = m_table;
   if (next.era != m_log_era) {
@@ -564,6 +590,9 @@
       order.fencing_token = item.fencing_token;
       const TargetId* holder = FindHolder(now, state);
       const bool grants = holder == nullptr;
+      if (grants && state.reassigned) {
+        continue;
+      }
       const ListedTarget* target =
           FindKnownTarget(grants ? item.owner : *holder);
       if (target == nullptr ||
--- a/src/coordination/key_leader.h
+++ b/src/coordination/key_leader.h
@@ -275,6 +275,11 @@
     // by another leader. No orders are sent until the next version of the table
     // has a greater token; see RaiseTokens().
     bool fenced = false;
+    // A version that NextTable() returned gives keys of the range to another
+    // target, on the assumption that the owner no longer holds them. It may
+    // still be appended, also after its append has failed, so the owner gets no
+    // grants until another version is known.
+    bool reassigned = false;
     // Opaque state from the release, for the first grant to the new owner.
     std::string handover;
   };
@@ -294,6 +299,8 @@
       MonotonicTime now,
       const KeyAssignment& range,
       std::span<const KeyAssignment> old_ranges) const;
+  // Marks the ranges that `next`, which may be appended from now on, reassigns.
+  void MarkReassigned(const KeyTable& next);
   // Whether an order about the range is due.
   bool IsDue(MonotonicTime now, const RangeState& state) const;
   bool IsUnresponsive(std::string_view target) const {
