Tell the leader of a restored table that it is outdated

Two targets could hold the same keys for a moment after the log was restored.

Cause: an instance whose last read missed the newest table appends the first table of the new era. One that knows better appends a correction; but while the store is slow, that takes longer than the leader waits before its first orders.

Change: such an instance tells the leader by datagram, which then sends no orders until the table is corrected or all former grants have ended.

--- a/src/coordination/key_leader.cc
+++ b/src/coordination/key_leader.cc
@@ -87,6 +87,7 @@
     m_lost_table.reset();
   }
   m_superseded = false;
+  m_outdated = m_outdated && table.term == m_table.term;
   const bool same_era = known_in_era == (table.era == m_log_era);
   const bool was_leader = m_has_table && same_era && m_table.leader == m_self;
   const KeyTable old = std::exchange(m_table, std::move(table));
@@ -168,6 +169,10 @@
   }
 }
 
+void KeyLeader::OnTableOutdated(std::uint64_t term) {
+  m_outdated = m_outdated || (IsNamedLeader() && term == m_table.term);
+}
+
 Milliseconds KeyLeader::RemainingGrantTime(MonotonicTime now) const {
   MonotonicTime last = now;
   for (const auto& [target, until] : m_granted_until) {
@@ -572,7 +577,8 @@
 
 std::vector<KeyOrder> KeyLeader::TakeDueOrders(MonotonicTime now) {
   std::vector<KeyOrder> orders;
-  if (!IsLeader(now) || m_table.owners_unknown) {
+  if (!IsLeader(now) || m_table.owners_unknown ||
+      (m_outdated && now < m_former_grants_until)) {
     return orders;
   }
   for (const auto& [service, ranges] : m_table.services) {
--- a/src/coordination/key_leader.h
+++ b/src/coordination/key_leader.h
@@ -91,9 +91,9 @@
 // - Nobody is the leader until a version of the new era is appended, by the
 //   former leader or, without it, by another instance. It is made from the
 //   assignments with the greatest tokens among those that the instance knows
-//   and those in the log. An instance that knows a greater token appends a
-//   corrected version. Tokens and terms of the new era are greater than all
-//   earlier ones; see EraBase().
+//   and those in the log. An instance that knows a greater token tells the
+//   leader, which stops, and appends a corrected version. Tokens and terms of
+//   the new era are greater than all earlier ones; see EraBase().
 // - Until all grants of earlier eras must have expired, a range from an earlier
 //   era is only renewed, with its token, which its owner rejects if it has seen
 //   a greater one. Once the owner has accepted, the range is like any other. A
@@ -191,6 +191,11 @@
   // leader, it does not wait for their former owners again.
   void OnMovesCompleted(const std::set<FencingToken>& fencing_tokens);
 
+  // Call when an instance knows newer assignments than the table of `term`. A
+  // leader then sends no orders until the table is corrected or all grants of
+  // earlier leaders have expired.
+  void OnTableOutdated(std::uint64_t term);
+
   // Call with the whole list of targets when an entry has changed.
   void OnTargets(MonotonicTime now, const TargetList& targets);
 
@@ -227,6 +232,8 @@
   // restored: it was the leader before, or it knows more assignments than the
   // leader.
   bool ShouldRestoreTable(MonotonicTime now) const;
+  // Whether this instance knows newer assignments than the newest table.
+  bool KnowsNewerAssignments() const { return m_lost_table.has_value(); }
 
   // Returns the orders to send now, none unless this instance is the leader.
   // Report the result of each by OnOrderResult(): until then its range gets no
@@ -406,6 +413,8 @@
   // The assignments that were known when the log was restored, while the log
   // has older ones.
   std::optional<KeyTable> m_lost_table;
+  // Another instance knows newer assignments than the table.
+  bool m_outdated = false;
   // The log ends with a version of an earlier era, appended after the newest
   // one by an instance that did not know yet that the log was restored.
   bool m_superseded = false;
--- a/src/coordination/leader_message.h
+++ b/src/coordination/leader_message.h
@@ -71,6 +71,13 @@
   Milliseconds remaining_grant_time{0};
 };
 
+// Message to a leader that appended the first table after a restore of the log:
+// the sender knows newer assignments and is about to append them.
+struct LeaderTableOutdated {
+  // Term of the outdated table; see KeyTable::term.
+  std::uint64_t term = 0;
+};
+
 // A datagram between an instance and the leader.
 struct LeaderMessage {
   InstanceId from;
@@ -79,6 +86,7 @@
                LeaderMovesCompleted,
                LeaderNotServing,
                LeaderReplaced,
+               LeaderTableOutdated,
                LeaderPermitRequest,
                LeaderPermitResponse>
       content;
--- a/src/protocol/lead_message.capnp
+++ b/src/protocol/lead_message.capnp
@@ -27,6 +27,9 @@
     permitRequest @6 :PermitRequest;
     # Answer of the leader to a permitRequest.
     permitResponse @7 :PermitResponse;
+    # To the leader: the term of its key table, which lacks assignments that the
+    # sender knows.
+    outdated @8 :UInt64;
   }
 }
 
--- a/src/protocol/lead_message.capnp.h
+++ b/src/protocol/lead_message.capnp.h
@@ -45,10 +45,11 @@
     SETTLED,
     PERMIT_REQUEST,
     PERMIT_RESPONSE,
+    OUTDATED,
   };
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9fed3600d6188081, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(9fed3600d6188081, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -211,6 +212,9 @@
   inline bool hasPermitResponse() const;
   inline  ::snipehall::wire::PermitResponse::Reader getPermitResponse() const;
 
+  inline bool isOutdated() const;
+  inline  ::uint64_t getOutdated() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -300,6 +304,10 @@
   inline void adoptPermitResponse(::capnp::Orphan< ::snipehall::wire::PermitResponse>&& value);
   inline ::capnp::Orphan< ::snipehall::wire::PermitResponse> disownPermitResponse();
 
+  inline bool isOutdated();
+  inline  ::uint64_t getOutdated();
+  inline void setOutdated( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1381,6 +1389,32 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool LeadMessage::Reader::isOutdated() const {
+  return which() == LeadMessage::OUTDATED;
+}
+inline bool LeadMessage::Builder::isOutdated() {
+  return which() == LeadMessage::OUTDATED;
+}
+inline  ::uint64_t LeadMessage::Reader::getOutdated() const {
+  KJ_IREQUIRE((which() == LeadMessage::OUTDATED),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LeadMessage::Builder::getOutdated() {
+  KJ_IREQUIRE((which() == LeadMessage::OUTDATED),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void LeadMessage::Builder::setOutdated( ::uint64_t value) {
+  _builder.setDataField<LeadMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LeadMessage::OUTDATED);
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Report::Reader::hasZone() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/protocol/leader_message_codec.cc
+++ b/src/protocol/leader_message_codec.cc
@@ -94,6 +94,9 @@
     builder.setRetryAfterMs(
         static_cast<std::uint32_t>(response.retry_after.count()));
   }
+  void operator()(const LeaderTableOutdated& outdated) {
+    root.setOutdated(outdated.term);
+  }
   void operator()(const LeaderReplaced& replaced) {
     auto builder = root.initReplaced();
     builder.setTerm(replaced.term);
@@ -147,6 +150,9 @@
                                Milliseconds(response.getRetryAfterMs())};
       return message;
     }
+    case wire::LeadMessage::OUTDATED:
+      message.content = LeaderTableOutdated{reader.getOutdated()};
+      return message;
     case wire::LeadMessage::REPLACED:
       message.content =
           LeaderReplaced{reader.getReplaced().getTerm(),
--- a/src/transport/gateway/gateway_control.h
+++ b/src/transport/gateway/gateway_control.h
@@ -367,6 +367,10 @@
     } else if (const auto* replaced =
                    std::get_if<LeaderReplaced>(&message.content)) {
       m_key_leader.OnLeaderReplaced(now, *replaced);
+    } else if (const auto* outdated =
+                   std::get_if<LeaderTableOutdated>(&message.content)) {
+      m_log.Write("keys_outdated", {{"known_by", message.from}});
+      m_key_leader.OnTableOutdated(outdated->term);
     }
   }
 
@@ -628,6 +632,10 @@
                    {"era", std::to_string(table.era)},
                    {"owners", table.owners_unknown ? "unknown" : "known"}});
     }
+    if (m_key_leader.KnowsNewerAssignments()) {
+      m_link.Send(table.leader_address,
+                  {m_instance, LeaderTableOutdated{table.term}});
+    }
     m_state.SetKeys(table);
     m_leader_failure_detector.OnLeader(table.leader);
     if (was_named && table.leader != m_instance && table.era == former_era) {
--- a/tests/unit/key_codec_test.cc
+++ b/tests/unit/key_codec_test.cc
@@ -94,6 +94,15 @@
             std::vector<FencingToken>({3, 1ULL << 40}));
 }
 
+Test(leader_message_codec, table_outdated_round_trip) {
+  const std::string bytes =
+      EncodeLeaderMessage({"entry-1", LeaderTableOutdated{1ULL << 40}});
+  const auto decoded = DecodeLeaderMessage({bytes.data(), bytes.size()});
+  cr_assert(decoded.has_value());
+  cr_assert_eq(std::get<LeaderTableOutdated>(decoded.value().content).term,
+               1ULL << 40);
+}
+
 // Guards against a process that terminates because of a datagram that is not a
 // leader message.
 Test(leader_message_codec, malformed_datagrams_are_rejected) {
--- a/tests/unit/key_leader_test.cc
+++ b/tests/unit/key_leader_test.cc
@@ -441,5 +441,30 @@
   }
 }
 
+// Guards against two owners after a restore of the log: the leader of the new
+// era does not know the last assignments, and another instance does.
+Test(key_leader, leader_of_an_outdated_table_sends_no_orders) {
+  LeaderFixture fixture;
+  fixture.leader().OnLogEra(fixture.now(), 1, false);
+  fixture.BecomeLeaderOfTwoTargets();
+  fixture.leader().OnLogEra(fixture.now(), 2, true);
+  cr_assert(fixture.TakeDueOrders().empty());
+  cr_assert(fixture.leader().ShouldRestoreTable(fixture.now()));
+  cr_assert(fixture.AppendNextTable(true));
+  fixture.leader().OnTableOutdated(fixture.leader().table().term);
+  for (Milliseconds time{0}; time < Milliseconds(10000);
+       time += Milliseconds(500)) {
+    fixture.Advance(Milliseconds(500));
+    fixture.AppendNextTable();
+    cr_assert(fixture.TakeDueOrders().empty());
+  }
+  // All grants of earlier leaders have expired.
+  fixture.Advance(Milliseconds(1000));
+  cr_assert(fixture.AppendNextTable());
+  for (const KeyOrder& order : fixture.TakeDueOrders()) {
+    cr_assert_gt(order.fencing_token, EraBase(2));
+  }
+}
+
 }  // namespace
 }  // namespace snipehall
--- a/tests/unit/support/key_owner_simulation.h
+++ b/tests/unit/support/key_owner_simulation.h
@@ -354,17 +354,29 @@
     if (leader.table().leader != former_leader) {
       m_instances[i].leader_seen_at = m_now;
     }
+    if (leader.KnowsNewerAssignments()) {
+      SendToLeader(leader.table(), [term = leader.table().term](
+                                       KeyLeader& receiver, MonotonicTime) {
+        receiver.OnTableOutdated(term);
+      });
+    }
     if (was_named && !leader.IsNamedLeader() &&
         leader.table().era == former_era) {
-      SendReplaced(leader.table(), remaining);
+      SendToLeader(leader.table(), [term = leader.table().term, remaining](
+                                       KeyLeader& receiver, MonotonicTime now) {
+        receiver.OnLeaderReplaced(now, {term, remaining});
+      });
     }
   }
 
-  void SendReplaced(const KeyTable& table, Milliseconds remaining) {
+  // Sends a message to the leader of the table; `receive` runs there.
+  void SendToLeader(
+      const KeyTable& table,
+      const std::function<void(KeyLeader&, MonotonicTime)>& receive) {
     for (std::size_t i = 0; i < kInstances; ++i) {
       if (m_instances[i].alive && m_instances[i].id == table.leader) {
-        OnInstance(i, DrawLatency(), [this, i, term = table.term, remaining] {
-          m_instances[i].leader->OnLeaderReplaced(m_now, {term, remaining});
+        OnInstance(i, DrawLatency(), [this, i, receive] {
+          receive(*m_instances[i].leader, m_now);
         });
       }
     }
