--- a/src/state/types.h
+++ b/src/state/types.h
@@ -17,6 +17,9 @@
 // log does not count its restores.
 using LogEra = std::uint64_t;
 
+// Hash of what a request asks for; see DigestRequest().
+using RequestDigest = std::uint64_t;
+
 // Random number that a process chooses at its start, to distinguish it from
 // earlier processes of the same instance.
 using Incarnation = std::uint64_t;
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <random>
 
+#include "protocol/request_digest.h"
 #include "transport/gateway/gateway_control.h"
 #include "transport/gateway/gateway_server.h"
 #include "transport/gateway/leader_link.h"
@@ -164,6 +165,7 @@
                     std::to_string(request.target_load->slots)
               : std::string()},
          {"key", request.key ? std::to_string(*request.key) : std::string()},
+         {"digest", ToString(request.digest)},
          {"configuration", std::to_string(request.policy_version)}});
   }
 
--- a/src/transport/gateway/gateway_context.h
+++ b/src/transport/gateway/gateway_context.h
@@ -44,6 +44,7 @@
   std::optional<ReportedLoad> target_load;
   // Key of the request; unset for a service without keys.
   std::optional<KeyNumber> key;
+  RequestDigest digest = 0;
 };
 
 // State shared by all caller sessions of a gateway. Not thread-safe.
--- a/src/transport/gateway/gateway_session.cc
+++ b/src/transport/gateway/gateway_session.cc
@@ -7,6 +7,7 @@
 
 #include "protocol/end_to_end_headers.h"
 #include "protocol/http_head_checks.h"
+#include "protocol/request_digest.h"
 
 namespace snipehall {
 
@@ -397,7 +398,8 @@
         {request.info.request_id, request.route->name, router.target(),
          outcome.cause, outcome.status, router.attempts(),
          static_cast<int>(seconds * 1000), router.sent_after(),
-         request.policy->version(), router.target_load(), request.info.key});
+         request.policy->version(), router.target_load(), request.info.key,
+         DigestRequest(request.parser->get(), m_context.names, request.body)});
   }
 }
 
