--- a/tests/process/support/gateway_cluster.cc
+++ b/tests/process/support/gateway_cluster.cc
@@ -145,7 +145,9 @@
       "--refused",
       std::to_string(m_initial_refusals),
       "--rate-limit",
-      m_rate_limit};
+      m_rate_limit,
+      "--poison",
+      "poison"};
   if (target.keyed) {
     arguments.emplace_back("--keyed");
   }
@@ -211,6 +213,10 @@
   m_targets[target].process->Signal(signal);
 }
 
+bool GatewayCluster::HasTargetExited(std::size_t target) {
+  return m_targets[target].process->Wait(Clock::now()).has_value();
+}
+
 void GatewayCluster::ReplaceTarget(std::size_t target) {
   Target& old = m_targets[target];
   old.process->Signal(SIGKILL);
--- a/tests/process/support/gateway_cluster.h
+++ b/tests/process/support/gateway_cluster.h
@@ -71,6 +71,9 @@
 
   std::size_t targets() const { return m_targets.size(); }
   void SignalTarget(std::size_t target, int signal);
+  // Whether the target's process has ended. A request whose path contains
+  // "poison" ends it.
+  bool HasTargetExited(std::size_t target);
   // Kills the target's process, adds a "dead" event for it, and starts a
   // process with a new id in its place.
   void ReplaceTarget(std::size_t target);
--- a/tests/standins/keyed_target.cc
+++ b/tests/standins/keyed_target.cc
@@ -8,6 +8,7 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <chrono>
+#include <cstdlib>
 #include <memory>
 #include <random>
 #include <set>
@@ -48,6 +49,9 @@
   // Number of requests after the start that are refused although slots are
   // free.
   std::uint64_t forced_refusals = 0;
+  // Part of the path of requests that end the process when they begin; none if
+  // it is empty.
+  std::string poison;
   // Rate limit that it names in its responses, requests per second; none if it
   // is empty.
   std::string rate_limit;
@@ -328,6 +332,11 @@
       Refuse(session, http::status::service_unavailable);
       return;
     }
+    if (!m_options.poison.empty() &&
+        PathOf(request).find(m_options.poison) != std::string_view::npos) {
+      AppendEvent({{"event", "crash"}, {"id", id}});
+      std::_Exit(EXIT_FAILURE);
+    }
     ++m_running_count;
     m_running_keys.insert(key_number);
     AppendEvent(
@@ -383,6 +392,7 @@
        {"events", TextOption(&options.events, "file for its events")},
        {"keyed", FlagOption(&options.keyed, "requests belong to keys")},
        {"slots", NumberOption(&options.slots, "requests at a time")},
+       {"poison", TextOption(&options.poison, "part of a path to crash on")},
        {"rate-limit", TextOption(&options.rate_limit, "requests per second")},
        {"refused", NumberOption(&options.forced_refusals,
                                 "first requests that are refused")},
--- a/tests/unit/support/key_owner_simulation.h
+++ b/tests/unit/support/key_owner_simulation.h
@@ -459,7 +459,13 @@
     const Milliseconds latency = DrawLatency();
     const bool lost = m_now < m_targets[t].cut_until;
     if (!lost && latency < limit) {
-      After(latency, [this, t, order, result] { Deliver(t, order, result); });
+      // The order goes over a connection to one process.
+      After(latency,
+            [this, t, order, result, generation = m_targets[t].generation] {
+              if (m_targets[t].generation == generation) {
+                Deliver(t, order, result);
+              }
+            });
     }
     Await(i, order, m_now + limit, result);
   }
