Block requests that crash their targets at all instances

One request crashed target after target: callers of the service were refused or lost their responses.

Cause: no instance remembered that a request had crashed a target; each attempt went out as a new request, at whatever instance it came. The class of the fault is a retry without memory: it is safe for the request, and harms all others.

Change: PoisonRequestDetector counts the targets that were lost after a delivery of a request, by a digest of method, host, path, key and body. A loss counts only if the request was sent after the loss before it, so requests that were at work together at a crashed target are not suspected more than once, and a response ends the suspicion. After three losses the request gets 400 without being sent, for five minutes at first. Instances tell the leader of losses, the leader tells them the digests that are blocked, and they remind it at intervals. At most 1000 requests are remembered.

--- a/src/coordination/leader_message.h
+++ b/src/coordination/leader_message.h
@@ -78,6 +78,25 @@
   std::uint64_t term = 0;
 };
 
+// Tells the leader that the connection to a target ended without a response to
+// a request; see PoisonRequestDetector.
+struct LeaderTargetLost {
+  RequestDigest digest = 0;
+  // Time since the request was sent to the target.
+  Milliseconds sent_ago{0};
+};
+
+// Tells the leader that a target has responded to a request that was suspected
+// to crash targets.
+struct LeaderRequestHarmless {
+  RequestDigest digest = 0;
+};
+
+// From the leader: the requests that must not be sent to any target.
+struct LeaderRequestsBlocked {
+  std::vector<RequestDigest> digests;
+};
+
 // A datagram between an instance and the leader.
 struct LeaderMessage {
   InstanceId from;
@@ -87,6 +106,9 @@
                LeaderNotServing,
                LeaderReplaced,
                LeaderTableOutdated,
+               LeaderTargetLost,
+               LeaderRequestHarmless,
+               LeaderRequestsBlocked,
                LeaderPermitRequest,
                LeaderPermitResponse>
       content;
--- a/src/protocol/lead_message.capnp
+++ b/src/protocol/lead_message.capnp
@@ -30,6 +30,12 @@
     # To the leader: the term of its key table, which lacks assignments that the
     # sender knows.
     outdated @8 :UInt64;
+    # To the leader: the connection to a target ended without a response.
+    targetLost @9 :TargetLost;
+    # To the leader: digest of a request that a target has responded to after all.
+    harmless @10 :UInt64;
+    # From the leader: digests of the requests that crash their targets.
+    blocked @11 :List(UInt64);
   }
 }
 
@@ -69,6 +75,13 @@
   retryAfterMs @2 :UInt32;
 }
 
+struct TargetLost {
+  # Digest of the request.
+  digest @0 :UInt64;
+  # Time since the request was sent to the target, in milliseconds.
+  sentAgoMs @1 :UInt32;
+}
+
 struct Replaced {
   # Term of the successor.
   term @0 :UInt64;
--- a/src/protocol/lead_message.capnp.h
+++ b/src/protocol/lead_message.capnp.h
@@ -21,6 +21,7 @@
 CAPNP_DECLARE_SCHEMA(afe7dc51da1b3174);
 CAPNP_DECLARE_SCHEMA(e525d6843db21571);
 CAPNP_DECLARE_SCHEMA(eb21fb7be1473318);
+CAPNP_DECLARE_SCHEMA(e4d78d9389e1e5b4);
 CAPNP_DECLARE_SCHEMA(eef3dcc479991b0e);
 CAPNP_DECLARE_SCHEMA(89f62009bfccd807);
 CAPNP_DECLARE_SCHEMA(f5317be38cc662b8);
@@ -46,6 +47,9 @@
     PERMIT_REQUEST,
     PERMIT_RESPONSE,
     OUTDATED,
+    TARGET_LOST,
+    HARMLESS,
+    BLOCKED,
   };
 
   struct _capnpPrivate {
@@ -116,6 +120,21 @@
   };
 };
 
+struct TargetLost {
+  TargetLost() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e4d78d9389e1e5b4, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Replaced {
   Replaced() = delete;
 
@@ -215,6 +234,17 @@
   inline bool isOutdated() const;
   inline  ::uint64_t getOutdated() const;
 
+  inline bool isTargetLost() const;
+  inline bool hasTargetLost() const;
+  inline  ::snipehall::wire::TargetLost::Reader getTargetLost() const;
+
+  inline bool isHarmless() const;
+  inline  ::uint64_t getHarmless() const;
+
+  inline bool isBlocked() const;
+  inline bool hasBlocked() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getBlocked() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -308,6 +338,27 @@
   inline  ::uint64_t getOutdated();
   inline void setOutdated( ::uint64_t value);
 
+  inline bool isTargetLost();
+  inline bool hasTargetLost();
+  inline  ::snipehall::wire::TargetLost::Builder getTargetLost();
+  inline void setTargetLost( ::snipehall::wire::TargetLost::Reader value);
+  inline  ::snipehall::wire::TargetLost::Builder initTargetLost();
+  inline void adoptTargetLost(::capnp::Orphan< ::snipehall::wire::TargetLost>&& value);
+  inline ::capnp::Orphan< ::snipehall::wire::TargetLost> disownTargetLost();
+
+  inline bool isHarmless();
+  inline  ::uint64_t getHarmless();
+  inline void setHarmless( ::uint64_t value);
+
+  inline bool isBlocked();
+  inline bool hasBlocked();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getBlocked();
+  inline void setBlocked( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setBlocked(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initBlocked(unsigned int size);
+  inline void adoptBlocked(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownBlocked();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -709,6 +760,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class TargetLost::Reader {
+public:
+  typedef TargetLost Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getDigest() const;
+
+  inline  ::uint32_t getSentAgoMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TargetLost::Builder {
+public:
+  typedef TargetLost Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getDigest();
+  inline void setDigest( ::uint64_t value);
+
+  inline  ::uint32_t getSentAgoMs();
+  inline void setSentAgoMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TargetLost::Pipeline {
+public:
+  typedef TargetLost Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Replaced::Reader {
 public:
   typedef Replaced Reads;
@@ -1415,6 +1547,146 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool LeadMessage::Reader::isTargetLost() const {
+  return which() == LeadMessage::TARGET_LOST;
+}
+inline bool LeadMessage::Builder::isTargetLost() {
+  return which() == LeadMessage::TARGET_LOST;
+}
+inline bool LeadMessage::Reader::hasTargetLost() const {
+  if (which() != LeadMessage::TARGET_LOST) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool LeadMessage::Builder::hasTargetLost() {
+  if (which() != LeadMessage::TARGET_LOST) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::snipehall::wire::TargetLost::Reader LeadMessage::Reader::getTargetLost() const {
+  KJ_IREQUIRE((which() == LeadMessage::TARGET_LOST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::snipehall::wire::TargetLost>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::snipehall::wire::TargetLost::Builder LeadMessage::Builder::getTargetLost() {
+  KJ_IREQUIRE((which() == LeadMessage::TARGET_LOST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::snipehall::wire::TargetLost>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void LeadMessage::Builder::setTargetLost( ::snipehall::wire::TargetLost::Reader value) {
+  _builder.setDataField<LeadMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LeadMessage::TARGET_LOST);
+  ::capnp::_::PointerHelpers< ::snipehall::wire::TargetLost>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::snipehall::wire::TargetLost::Builder LeadMessage::Builder::initTargetLost() {
+  _builder.setDataField<LeadMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LeadMessage::TARGET_LOST);
+  return ::capnp::_::PointerHelpers< ::snipehall::wire::TargetLost>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void LeadMessage::Builder::adoptTargetLost(
+    ::capnp::Orphan< ::snipehall::wire::TargetLost>&& value) {
+  _builder.setDataField<LeadMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LeadMessage::TARGET_LOST);
+  ::capnp::_::PointerHelpers< ::snipehall::wire::TargetLost>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::snipehall::wire::TargetLost> LeadMessage::Builder::disownTargetLost() {
+  KJ_IREQUIRE((which() == LeadMessage::TARGET_LOST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::snipehall::wire::TargetLost>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool LeadMessage::Reader::isHarmless() const {
+  return which() == LeadMessage::HARMLESS;
+}
+inline bool LeadMessage::Builder::isHarmless() {
+  return which() == LeadMessage::HARMLESS;
+}
+inline  ::uint64_t LeadMessage::Reader::getHarmless() const {
+  KJ_IREQUIRE((which() == LeadMessage::HARMLESS),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LeadMessage::Builder::getHarmless() {
+  KJ_IREQUIRE((which() == LeadMessage::HARMLESS),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void LeadMessage::Builder::setHarmless( ::uint64_t value) {
+  _builder.setDataField<LeadMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LeadMessage::HARMLESS);
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LeadMessage::Reader::isBlocked() const {
+  return which() == LeadMessage::BLOCKED;
+}
+inline bool LeadMessage::Builder::isBlocked() {
+  return which() == LeadMessage::BLOCKED;
+}
+inline bool LeadMessage::Reader::hasBlocked() const {
+  if (which() != LeadMessage::BLOCKED) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool LeadMessage::Builder::hasBlocked() {
+  if (which() != LeadMessage::BLOCKED) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader LeadMessage::Reader::getBlocked() const {
+  KJ_IREQUIRE((which() == LeadMessage::BLOCKED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder LeadMessage::Builder::getBlocked() {
+  KJ_IREQUIRE((which() == LeadMessage::BLOCKED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void LeadMessage::Builder::setBlocked( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  _builder.setDataField<LeadMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LeadMessage::BLOCKED);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void LeadMessage::Builder::setBlocked(::kj::ArrayPtr<const  ::uint64_t> value) {
+  _builder.setDataField<LeadMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LeadMessage::BLOCKED);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder LeadMessage::Builder::initBlocked(unsigned int size) {
+  _builder.setDataField<LeadMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LeadMessage::BLOCKED);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void LeadMessage::Builder::adoptBlocked(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  _builder.setDataField<LeadMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LeadMessage::BLOCKED);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> LeadMessage::Builder::disownBlocked() {
+  KJ_IREQUIRE((which() == LeadMessage::BLOCKED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool Report::Reader::hasZone() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1702,6 +1974,34 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t TargetLost::Reader::getDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TargetLost::Builder::getDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TargetLost::Builder::setDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t TargetLost::Reader::getSentAgoMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TargetLost::Builder::getSentAgoMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void TargetLost::Builder::setSentAgoMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Replaced::Reader::getTerm() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/protocol/leader_message_codec.cc
+++ b/src/protocol/leader_message_codec.cc
@@ -97,6 +97,21 @@
   void operator()(const LeaderTableOutdated& outdated) {
     root.setOutdated(outdated.term);
   }
+  void operator()(const LeaderTargetLost& lost) {
+    auto builder = root.initTargetLost();
+    builder.setDigest(lost.digest);
+    builder.setSentAgoMs(static_cast<std::uint32_t>(lost.sent_ago.count()));
+  }
+  void operator()(const LeaderRequestHarmless& harmless) {
+    root.setHarmless(harmless.digest);
+  }
+  void operator()(const LeaderRequestsBlocked& blocked) {
+    auto digests =
+        root.initBlocked(static_cast<unsigned>(blocked.digests.size()));
+    for (unsigned i = 0; i < digests.size(); ++i) {
+      digests.set(i, blocked.digests[i]);
+    }
+  }
   void operator()(const LeaderReplaced& replaced) {
     auto builder = root.initReplaced();
     builder.setTerm(replaced.term);
@@ -153,6 +168,23 @@
     case wire::LeadMessage::OUTDATED:
       message.content = LeaderTableOutdated{reader.getOutdated()};
       return message;
+    case wire::LeadMessage::TARGET_LOST: {
+      const auto lost = reader.getTargetLost();
+      message.content =
+          LeaderTargetLost{lost.getDigest(), Milliseconds(lost.getSentAgoMs())};
+      return message;
+    }
+    case wire::LeadMessage::HARMLESS:
+      message.content = LeaderRequestHarmless{reader.getHarmless()};
+      return message;
+    case wire::LeadMessage::BLOCKED: {
+      LeaderRequestsBlocked blocked;
+      for (const std::uint64_t digest : reader.getBlocked()) {
+        blocked.digests.push_back(digest);
+      }
+      message.content = std::move(blocked);
+      return message;
+    }
     case wire::LeadMessage::REPLACED:
       message.content =
           LeaderReplaced{reader.getReplaced().getTerm(),
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -53,6 +53,7 @@
                   m_metrics,
                   m_log,
                   m_link,
+                  m_context.poison_requests,
                   m_seed),
         m_report_timer(io),
         m_signals(io, SIGTERM, SIGINT, SIGHUP),
@@ -86,6 +87,13 @@
                                       PermitRequests::OnResponse on_response) {
       m_control.RequestPermit(target, limit, std::move(on_response));
     };
+    m_context.on_target_lost = [this](RequestDigest digest,
+                                      MonotonicTime sent_at) {
+      m_control.ReportTargetLost(digest, sent_at);
+    };
+    m_context.on_harmless_request = [this](RequestDigest digest) {
+      m_control.ReportHarmless(digest);
+    };
     m_context.on_exception = [this](std::string_view request_id,
                                     std::string_view error) {
       m_log.Write("exception", {{"id", request_id}, {"error", error}});
--- a/src/transport/gateway/gateway_context.h
+++ b/src/transport/gateway/gateway_context.h
@@ -11,6 +11,7 @@
 
 #include "coordination/buffer_budget.h"
 #include "coordination/key_load_recorder.h"
+#include "coordination/poison_request_detector.h"
 #include "coordination/target_rate_limits.h"
 #include "protocol/gateway_headers.h"
 #include "transport/gateway/gateway_metrics.h"
@@ -73,6 +74,7 @@
   TargetPools pools;
   KeyLoadRecorder key_loads;
   TargetRateLimits rate_limits;
+  PoisonRequestDetector poison_requests;
   // Memory for the bodies of targets' responses.
   BufferBudget response_buffers;
   // Open sessions; each adds and removes itself.
@@ -84,6 +86,13 @@
   // in requests per second.
   std::function<void(std::string_view target, std::optional<double> limit)>
       on_rate_limit;
+  // Called when the connection to a target ended without a response to the
+  // request, which was sent at `sent_at`.
+  std::function<void(RequestDigest digest, MonotonicTime sent_at)>
+      on_target_lost;
+  // Called when a target has responded to a request that was suspected to crash
+  // targets.
+  std::function<void(RequestDigest digest)> on_harmless_request;
   // Asks the leader for a permit to send a request to `target`, which limits
   // its request rate; see GatewayControl::RequestPermit().
   std::function<void(std::string_view target,
--- a/src/transport/gateway/gateway_control.h
+++ b/src/transport/gateway/gateway_control.h
@@ -21,10 +21,12 @@
 #include "coordination/key_leader.h"
 #include "coordination/key_topic_cursor.h"
 #include "coordination/leader_failure_detector.h"
+#include "coordination/poison_request_detector.h"
 #include "coordination/relay_planner.h"
 #include "coordination/shared_rate_limiter.h"
 #include "coordination/target_registry.h"
 #include "protocol/key_table_codec.h"
+#include "protocol/request_digest.h"
 #include "transport/event_log.h"
 #include "transport/gateway/gateway_metrics.h"
 #include "transport/gateway/gateway_settings.h"
@@ -83,6 +85,7 @@
                  GatewayMetrics& metrics,
                  EventLog& log,
                  LeaderLink& link,
+                 PoisonRequestDetector& poison_requests,
                  std::uint64_t seed)
       : m_executor(executor),
         m_platform(platform),
@@ -90,6 +93,7 @@
         m_metrics(metrics),
         m_log(log),
         m_link(link),
+        m_poison_requests(poison_requests),
         m_instance(settings.instance),
         m_leader_failure_detector(seed),
         m_key_leader(settings.instance, settings.peer_address),
@@ -193,6 +197,7 @@
                   {m_instance, LeaderReport{m_zone, relay_address,
                                             std::move(report), m_link_mbps}});
     }
+    ReportBlockedRequests(now);
     m_leader_failure_detector.OnReportSent();
     if (m_leader_failure_detector.ShouldTakeOver()) {
       WakeLeader();
@@ -221,6 +226,35 @@
         {m_instance, LeaderPermitRequest{number, TargetId(target), limit}});
   }
 
+  // Call when the connection to a target ended without a response to a request;
+  // see PoisonRequestDetector. Tells the leader or, on the leader, the other
+  // instances if the request is blocked.
+  void ReportTargetLost(RequestDigest digest, MonotonicTime sent_at) {
+    const MonotonicTime now = Now();
+    if (!m_key_leader.IsNamedLeader()) {
+      m_link.Send(
+          m_state.keys().leader_address,
+          {m_instance,
+           LeaderTargetLost{digest, std::chrono::duration_cast<Milliseconds>(
+                                        now - sent_at)}});
+    } else if (m_poison_requests.IsBlocked(now, digest)) {
+      AnnounceBlockedRequests(digest);
+    }
+  }
+
+  // Call when a target has responded to a suspected request. Tells the leader
+  // or, on the leader, the other instances.
+  void ReportHarmless(RequestDigest digest) {
+    if (!m_key_leader.IsNamedLeader()) {
+      m_link.Send(m_state.keys().leader_address,
+                  {m_instance, LeaderRequestHarmless{digest}});
+      return;
+    }
+    for (const auto& [endpoint, seen] : m_reporters) {
+      m_link.Send(endpoint, {m_instance, LeaderRequestHarmless{digest}});
+    }
+  }
+
   // Handles a datagram of another instance. An exception ends the work on this
   // datagram only.
   void OnMessage(const LeaderLink::Endpoint& sender,
@@ -276,6 +310,8 @@
   // Minimum interval between announcements of completed moves to the instances
   // that report to the leader.
   static constexpr Milliseconds kAnnounceInterval{50};
+  // Interval between reports of the blocked requests to the leader.
+  static constexpr Milliseconds kBlockedReportInterval{2000};
   // Instances that have not reported for this long, three report intervals, get
   // no more announcements of completed moves.
   static constexpr Milliseconds kReporterTimeout{1200};
@@ -337,6 +373,12 @@
         m_link.Send(sender,
                     {m_instance, LeaderMovesCompleted{std::move(completed)}});
       }
+      std::vector<RequestDigest> blocked =
+          m_poison_requests.BlockedRequests(now);
+      if (!blocked.empty()) {
+        m_link.Send(sender,
+                    {m_instance, LeaderRequestsBlocked{std::move(blocked)}});
+      }
     } else if (const auto* serving =
                    std::get_if<LeaderServing>(&message.content)) {
       m_leader_failure_detector.OnServing(
@@ -364,6 +406,27 @@
       m_permit_requests.Complete(*permitted);
     } else if (std::holds_alternative<LeaderNotServing>(message.content)) {
       m_leader_failure_detector.OnNotServing(message.from);
+    } else if (const auto* lost =
+                   std::get_if<LeaderTargetLost>(&message.content)) {
+      if (m_key_leader.IsNamedLeader() &&
+          m_poison_requests.OnTargetLost(now, lost->digest,
+                                         now - lost->sent_ago)) {
+        AnnounceBlockedRequests(lost->digest);
+      }
+    } else if (const auto* harmless =
+                   std::get_if<LeaderRequestHarmless>(&message.content)) {
+      m_poison_requests.OnResponse(harmless->digest);
+      if (m_key_leader.IsNamedLeader()) {
+        ReportHarmless(harmless->digest);
+      }
+    } else if (const auto* blocked =
+                   std::get_if<LeaderRequestsBlocked>(&message.content)) {
+      for (const RequestDigest digest : blocked->digests) {
+        if (!m_poison_requests.IsBlocked(now, digest)) {
+          LogBlockedRequest(digest);
+          m_poison_requests.OnBlocked(now, digest);
+        }
+      }
     } else if (const auto* replaced =
                    std::get_if<LeaderReplaced>(&message.content)) {
       m_key_leader.OnLeaderReplaced(now, *replaced);
@@ -374,6 +437,34 @@
     }
   }
 
+  // Tells the leader of the blocked requests at intervals: its process may have
+  // restarted.
+  void ReportBlockedRequests(MonotonicTime now) {
+    if (now < m_report_blocked_at) {
+      return;
+    }
+    m_report_blocked_at = now + kBlockedReportInterval;
+    std::vector<RequestDigest> blocked = m_poison_requests.BlockedRequests(now);
+    if (!blocked.empty()) {
+      m_link.Send(m_state.keys().leader_address,
+                  {m_instance, LeaderRequestsBlocked{std::move(blocked)}});
+    }
+  }
+
+  void LogBlockedRequest(RequestDigest digest) {
+    m_metrics.IncrementEvent("request_blocked");
+    m_log.Write("request_blocked", {{"digest", ToString(digest)}});
+  }
+
+  // Tells the instances that report to this leader of a request that is blocked
+  // from now on.
+  void AnnounceBlockedRequests(RequestDigest digest) {
+    LogBlockedRequest(digest);
+    for (const auto& [endpoint, seen] : m_reporters) {
+      m_link.Send(endpoint, {m_instance, LeaderRequestsBlocked{{digest}}});
+    }
+  }
+
   // Takes a permit as the leader; see SharedRateLimiter::TryTake().
   std::optional<Milliseconds> TakePermit(std::string_view target,
                                          double limit) {
@@ -812,6 +903,7 @@
   GatewayMetrics& m_metrics;
   EventLog& m_log;
   LeaderLink& m_link;
+  PoisonRequestDetector& m_poison_requests;
   InstanceId m_instance;
   LeaderFailureDetector m_leader_failure_detector;
   TargetRegistry m_registry;
@@ -836,6 +928,7 @@
   // Completed moves at the last announcement, sorted.
   std::vector<FencingToken> m_announced_moves;
   MonotonicTime m_announce_at;
+  MonotonicTime m_report_blocked_at;
   Feed m_policy_feed;
   Feed m_target_feed;
   Feed m_key_feed;
--- a/src/transport/gateway/gateway_router.cc
+++ b/src/transport/gateway/gateway_router.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "protocol/request_digest.h"
+
 namespace snipehall {
 
 namespace {
@@ -63,6 +65,11 @@
   if (m_request.interrupted()) {
     co_return HandleInterruption();
   }
+  if (IsBlocked()) {
+    m_context.metrics.IncrementEvent("poison_request_refused");
+    co_return FinishWithError(m_may_have_run ? 502 : 400,
+                              "request crashes its targets");
+  }
   Action action = Action::kRetry;
   if (!ChooseTarget(Now())) {
     const std::string_view cause = m_keyed ? "no owner" : "no target";
@@ -80,6 +87,35 @@
   co_return action;
 }
 
+RequestDigest GatewayRouter::digest() const {
+  return DigestRequest(m_request.parser->get(), m_context.names,
+                       m_request.body);
+}
+
+bool GatewayRouter::IsBlocked() const {
+  return !m_context.poison_requests.empty() &&
+         m_context.poison_requests.IsBlocked(Now(), digest());
+}
+
+void GatewayRouter::RecordTargetLost(MonotonicTime sent_at) {
+  const RequestDigest request_digest = digest();
+  m_context.poison_requests.OnTargetLost(Now(), request_digest, sent_at);
+  if (m_context.on_target_lost) {
+    m_context.on_target_lost(request_digest, sent_at);
+  }
+}
+
+void GatewayRouter::RecordResponse() {
+  if (m_context.poison_requests.empty()) {
+    return;
+  }
+  const RequestDigest request_digest = digest();
+  if (m_context.poison_requests.OnResponse(request_digest) &&
+      m_context.on_harmless_request) {
+    m_context.on_harmless_request(request_digest);
+  }
+}
+
 bool GatewayRouter::ChooseTarget(MonotonicTime now) {
   m_chosen_version = m_context.state.version();
   if (m_keyed) {
@@ -233,6 +269,7 @@
       RecordRateLimit(exchange.info());
       chooser.OnAnswered(Now(), m_target.id, exchange.info().load);
       RecordServiceTime(exchange, sent);
+      RecordResponse();
       co_return AcceptResponse(exchange);
     case TargetExchangeResult::kRefused:
       RecordRateLimit(exchange.info());
@@ -247,6 +284,9 @@
     case TargetExchangeResult::kLost:
       chooser.OnFailed(Now(), m_target.id);
       m_may_have_run = true;
+      if (exchange.connection_lost()) {
+        RecordTargetLost(sent);
+      }
       co_return HandleLostResponse();
     case TargetExchangeResult::kInterrupted:
       chooser.OnAbandoned(m_target.id);
--- a/src/transport/gateway/gateway_router.h
+++ b/src/transport/gateway/gateway_router.h
@@ -64,6 +64,13 @@
   bool ChooseTarget(MonotonicTime now);
   // The same for a keyed service: the owner of the request's key.
   bool ChooseOwner(MonotonicTime now);
+  // Whether the request crashes its targets and must not be sent.
+  bool IsBlocked() const;
+  RequestDigest digest() const;
+  // Updates the suspicion that the request crashes its targets after a lost or
+  // complete response.
+  void RecordTargetLost(MonotonicTime sent_at);
+  void RecordResponse();
   // Whether `m_target` may be sent the request within its rate limit, if it has
   // one.
   Task<bool> AcquirePermit();
--- a/src/transport/gateway/target_exchange.cc
+++ b/src/transport/gateway/target_exchange.cc
@@ -65,6 +65,8 @@
     m_body_memory.Clear();
     const error_code error = co_await ReceiveResponse();
     if (error) {
+      m_connection_lost =
+          error.category() != http::make_error_code(http::error{}).category();
       co_return FailureResult();
     }
     if (IsResponseToRequest()) {
--- a/src/transport/gateway/target_exchange.h
+++ b/src/transport/gateway/target_exchange.h
@@ -65,6 +65,9 @@
   bool sent() const { return m_bytes_written > 0; }
   // Whether the connection can be used for another request. Valid after Run().
   bool reusable() const;
+  // Whether the connection ended, closed or reset, before a complete response.
+  // Valid after kLost.
+  bool connection_lost() const { return m_connection_lost; }
   // Load, id and other headers of the response; empty until one is received.
   const TargetResponseInfo& info() const { return m_info; }
   // Valid after kAnswered and kRefused.
@@ -109,6 +112,7 @@
   bool m_sending = false;
   bool m_request_sent = false;
   bool m_response_complete = false;
+  bool m_connection_lost = false;
 };
 
 }  // namespace snipehall
--- a/tests/unit/key_codec_test.cc
+++ b/tests/unit/key_codec_test.cc
@@ -103,6 +103,28 @@
                1ULL << 40);
 }
 
+Test(leader_message_codec, poison_request_round_trip) {
+  const std::string lost = EncodeLeaderMessage(
+      {"entry-1", LeaderTargetLost{UINT64_MAX, Milliseconds(70)}});
+  auto decoded = DecodeLeaderMessage({lost.data(), lost.size()});
+  cr_assert(decoded.has_value());
+  const auto& target_lost = std::get<LeaderTargetLost>(decoded.value().content);
+  cr_assert_eq(target_lost.digest, UINT64_MAX);
+  cr_assert(target_lost.sent_ago == Milliseconds(70));
+  const std::string harmless =
+      EncodeLeaderMessage({"entry-1", LeaderRequestHarmless{5}});
+  decoded = DecodeLeaderMessage({harmless.data(), harmless.size()});
+  cr_assert(decoded.has_value());
+  cr_assert_eq(std::get<LeaderRequestHarmless>(decoded.value().content).digest,
+               5);
+  const std::string blocked =
+      EncodeLeaderMessage({"entry-1", LeaderRequestsBlocked{{1, UINT64_MAX}}});
+  decoded = DecodeLeaderMessage({blocked.data(), blocked.size()});
+  cr_assert(decoded.has_value());
+  cr_assert(std::get<LeaderRequestsBlocked>(decoded.value().content).digests ==
+            std::vector<RequestDigest>({1, UINT64_MAX}));
+}
+
 // Guards against a process that terminates because of a datagram that is not a
 // leader message.
 Test(leader_message_codec, malformed_datagrams_are_rejected) {
--- /dev/null
+++ b/tests/unit/poison_request_detector_test.cc
@@ -0,0 +1,104 @@
+#include "coordination/poison_request_detector.h"
+
+#include <criterion/criterion.h>
+
+namespace snipehall {
+namespace {
+
+using Detector = PoisonRequestDetector;
+
+constexpr RequestDigest kRequest = 42;
+const MonotonicTime kStart = MonotonicTime(std::chrono::hours(1));
+
+// Reports losses a second apart, each of a request that was sent 100 ms before.
+// Returns the time of the last one.
+MonotonicTime LoseTargets(Detector& detector, MonotonicTime now, int count) {
+  for (int i = 0; i < count; ++i) {
+    now += Milliseconds(1000);
+    detector.OnTargetLost(now, kRequest, now - Milliseconds(100));
+  }
+  return now;
+}
+
+Test(poison_request_detector, third_loss_blocks_the_request) {
+  Detector detector;
+  const MonotonicTime now = LoseTargets(detector, kStart, 2);
+  cr_assert_not(detector.IsBlocked(now, kRequest));
+  cr_assert(detector.OnTargetLost(now + Milliseconds(100), kRequest, now));
+  cr_assert(detector.IsBlocked(now + Milliseconds(100), kRequest));
+  cr_assert_not(detector.IsBlocked(now + Milliseconds(100), kRequest + 1));
+  cr_assert(detector.BlockedRequests(now) ==
+            std::vector<RequestDigest>({kRequest}));
+}
+
+// Guards against requests that are refused since they were at work at targets
+// that crashed together.
+Test(poison_request_detector, losses_of_requests_sent_before_count_once) {
+  Detector detector;
+  for (int i = 0; i < 12; ++i) {
+    cr_assert_not(detector.OnTargetLost(kStart + Milliseconds(i), kRequest,
+                                        kStart - Milliseconds(50)));
+  }
+  cr_assert_not(detector.IsBlocked(kStart, kRequest));
+}
+
+Test(poison_request_detector, response_ends_the_suspicion) {
+  Detector detector;
+  MonotonicTime now = LoseTargets(detector, kStart, 2);
+  cr_assert(detector.OnResponse(kRequest));
+  cr_assert_not(detector.OnResponse(kRequest));
+  cr_assert(detector.empty());
+  now = LoseTargets(detector, now, 2);
+  cr_assert_not(detector.IsBlocked(now, kRequest));
+}
+
+// Guards against a request that may be sent again three times after each block.
+Test(poison_request_detector, one_loss_after_the_block_blocks_for_longer) {
+  Detector detector;
+  MonotonicTime now = LoseTargets(detector, kStart, 3);
+  Milliseconds block_time = Detector::kInitialBlockTime;
+  for (int i = 0; i < 8; ++i) {
+    cr_assert(detector.IsBlocked(now + block_time - Milliseconds(1), kRequest));
+    now += block_time;
+    cr_assert_not(detector.IsBlocked(now, kRequest));
+    cr_assert(detector.OnTargetLost(now, kRequest, now));
+    block_time = std::min(block_time * 2, Detector::kMaxBlockTime);
+  }
+}
+
+Test(poison_request_detector, suspicion_is_forgotten_in_time) {
+  Detector detector;
+  MonotonicTime now = LoseTargets(detector, kStart, 2);
+  now += Detector::kSuspicionLifetime;
+  detector.OnTargetLost(now, kRequest + 1, now);
+  cr_assert_eq(detector.size(), 1);
+  cr_assert_not(detector.OnTargetLost(now, kRequest, now));
+}
+
+// Load: more distinct requests than are remembered are lost.
+Test(poison_request_detector, memory_is_bounded) {
+  Detector detector;
+  MonotonicTime now = LoseTargets(detector, kStart, 2);
+  for (RequestDigest digest = 1000; digest < 11000; ++digest) {
+    now += Milliseconds(1);
+    detector.OnTargetLost(now, digest, now);
+    // The request in question is lost now and then, so it is not forgotten.
+    if (digest % 500 == 0) {
+      detector.OnTargetLost(now, kRequest, now);
+    }
+  }
+  cr_assert_leq(detector.size(), Detector::kMaxRequests);
+  cr_assert(detector.IsBlocked(now, kRequest));
+}
+
+Test(poison_request_detector, report_of_the_leader_blocks_once) {
+  Detector detector;
+  detector.OnBlocked(kStart, kRequest);
+  cr_assert(detector.IsBlocked(kStart, kRequest));
+  detector.OnBlocked(kStart + Milliseconds(1000), kRequest);
+  cr_assert_not(
+      detector.IsBlocked(kStart + Detector::kInitialBlockTime, kRequest));
+}
+
+}  // namespace
+}  // namespace snipehall
