--- a/tests/unit/key_leader_test.cc
+++ b/tests/unit/key_leader_test.cc
@@ -322,6 +322,30 @@
   cr_assert_not(fixture.Range(0).moving());
 }
 
+// Guards against two owners of a key: a grant that was sent before the leader
+// knew of the restart may reach the new process late.
+Test(key_leader, restarted_owner_with_a_grant_in_flight_keeps_its_keys) {
+  LeaderFixture fixture;
+  fixture.BecomeLeaderOfTwoTargets();
+  fixture.Advance(KeyLeader::kRenewalInterval);
+  for (const KeyOrder& order : fixture.TakeDueOrders()) {
+    if (order.target != "a") {
+      fixture.Finish(order, KeyOrderOutcome::kDone);
+    }
+  }
+  KeyOrder probe;
+  probe.kind = KeyOrder::Kind::kProbe;
+  probe.target = "a";
+  fixture.Finish(probe, KeyOrderOutcome::kNotSent);
+  fixture.AddTarget("a", 2);
+  fixture.AppendNextTable();
+  for (const KeyOrder& order : fixture.TakeDueOrders()) {
+    cr_assert(order.kind != KeyOrder::Kind::kGrant || order.target == "a" ||
+                  order.first > 0,
+              "keys of a were granted to another target");
+  }
+}
+
 // Guards against grants that are no longer renewed because a grant of the whole
 // range was in flight while a part of the range was released.
 Test(key_leader, rejected_grant_of_a_former_range_does_not_stop_renewals) {
