Test truncated responses and repeated refusals at every byte

Change: tests only. A response that is truncated at any byte gives 502, with a length and without, and leaves the outcome of an order unknown; a repeated refusal, with the earlier ID, without one or with status 421, is not taken for that of the next request.

--- a/tests/process/target_order_client_test.cc
+++ b/tests/process/target_order_client_test.cc
@@ -70,5 +70,27 @@
   client.Close();
 }
 
+// Guards against a truncated response that counts as the execution of an order:
+// keys would get another owner while the target still runs requests for them.
+Test(target_order_client, truncated_response_leaves_the_outcome_unknown) {
+  const std::string response =
+      "HTTP/1.1 200 OK\r\nHandover: h\r\nContent-Length: 2\r\n\r\n{}";
+  for (std::size_t size = 0; size < response.size(); ++size) {
+    FakeTarget target([&](RawSocket& connection, const std::string& head) {
+      connection.ReadExactly(static_cast<std::size_t>(
+          std::atoi(HeaderOf(head, "Content-Length").c_str())));
+      connection.Send(response.substr(0, size));
+      return false;
+    });
+    boost::asio::io_context io;
+    TargetOrderClient client(io.get_executor(), target.address());
+    const KeyOrderResult result = Send(io, client, KeyOrder::Kind::kRelease);
+    cr_assert(result.outcome == KeyOrderOutcome::kUnknown,
+              "%zu bytes count as %s", size,
+              std::string(ToString(result.outcome)).c_str());
+    client.Close();
+  }
+}
+
 }  // namespace
 }  // namespace snipehall::platform
--- a/tests/unit/gateway_hostile_target_test.cc
+++ b/tests/unit/gateway_hostile_target_test.cc
@@ -331,5 +331,73 @@
   }
 }
 
+// Statuses that a caller gets for an order when the target sends only the first
+// `size` bytes of `response` and closes the connection.
+int SendTruncated(const std::string& response, std::size_t size) {
+  FakeTarget target([&](RawSocket& connection, const std::string& /*head*/) {
+    connection.ReadExactly(2);
+    connection.Send(response.substr(0, size));
+    return false;
+  });
+  GatewayFixture gateway({target.address()});
+  RawSocket caller = gateway.Connect();
+  cr_assert(caller.Send(Order("a")));
+  return ReadResponse(caller).status;
+}
+
+// Guards against a truncated response that reaches the caller as a complete
+// success, at whatever byte the target stopped.
+Test(gateway_hostile_target, response_truncated_at_any_byte_is_no_success) {
+  const std::string response = GatewayFixture::OkResponse("a", "body");
+  for (std::size_t size = 0; size < response.size(); ++size) {
+    const int status = SendTruncated(response, size);
+    cr_assert(status == 502, "%zu bytes gave status %d", size, status);
+  }
+  cr_assert_eq(SendTruncated(response, response.size()), 200);
+}
+
+// Guards against a head that passes for a complete one because the body ends
+// with the connection.
+Test(gateway_hostile_target, truncated_head_without_a_length_is_no_success) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nSnipehall-Request-Id: a\r\nSnipehall-Signature: s"
+      "\r\n\r\n";
+  for (std::size_t size = 0; size < head.size(); ++size) {
+    const int status = SendTruncated(head + "body", size);
+    cr_assert(status == 502, "%zu bytes gave status %d", size, status);
+  }
+}
+
+// Guards against a refusal, written once more on a kept connection, that tells
+// the caller of the next request that it has not run: with another ID, without
+// one, and with status 421.
+Test(gateway_hostile_target, repeated_refusals_are_not_taken_for_the_next_one) {
+  const std::vector<std::string> refusals = {
+      GatewayFixture::NotRunResponse("a"),
+      "HTTP/1.1 503 Service Unavailable\r\nSnipehall-Not-Run: 1\r\n"
+      "Content-Length: 0\r\n\r\n",
+      "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"};
+  for (const std::string& refusal : refusals) {
+    std::atomic<int> runs = 0;
+    FakeTarget target([&](RawSocket& connection, const std::string& head) {
+      connection.ReadExactly(2);
+      if (IdOf(head) == "a") {
+        return connection.Send(GatewayFixture::NotRunResponse("a"));
+      }
+      ++runs;
+      return connection.Send(refusal) &&
+             connection.Send(GatewayFixture::OkResponse(IdOf(head), "ran"));
+    });
+    GatewayFixture gateway({target.address()}, {.max_attempts = 1});
+    RawSocket caller = gateway.Connect();
+    cr_assert(caller.Send(Order("a")));
+    cr_assert_eq(ReadResponse(caller).status, 503);
+    cr_assert(caller.Send(Order("b")));
+    const int status = ReadResponse(caller).status;
+    cr_assert(status == 200 || status == 502, "got status %d", status);
+    cr_assert_eq(runs, 1);
+  }
+}
+
 }  // namespace
 }  // namespace snipehall::test
