Count only targets that are lost without a byte of a response

Cause: gateway_hostile_target_test failed since requests that crash targets are blocked: a faulty target that truncated three responses got the request blocked. A target that has begun to respond did not crash by the request.

Change: a lost connection counts only if no byte of a response was received.

--- a/src/transport/gateway/target_exchange.h
+++ b/src/transport/gateway/target_exchange.h
@@ -65,8 +65,8 @@
   bool sent() const { return m_bytes_written > 0; }
   // Whether the connection can be used for another request. Valid after Run().
   bool reusable() const;
-  // Whether the connection ended, closed or reset, before a complete response.
-  // Valid after kLost.
+  // Whether the connection ended before any byte of a response, as it does when
+  // the target crashes. Valid after kLost.
   bool connection_lost() const { return m_connection_lost; }
   // Load, id and other headers of the response; empty until one is received.
   const TargetResponseInfo& info() const { return m_info; }
