Answer the requests that outlast a planned stop

Callers of requests that were at work at a target at the end of a planned stop got no response: the connection was cut. Reported by operators of similar systems.

Cause: requests were sent to targets up to the end of the stop, whatever their deadline, and at its end the process stopped with them.

--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -122,6 +122,8 @@
   // takes time on a slow machine, and the platform excuses unfinished requests
   // in the last sixth of the limit.
   static constexpr Milliseconds kStopMargin{900};
+  // Requests in progress are ended, each with a response, this long before.
+  static constexpr Milliseconds kResponseMargin{200};
 
   static MonotonicTime Now() { return std::chrono::steady_clock::now(); }
 
@@ -218,8 +220,11 @@
                 {{"busy", std::to_string(m_server->active_requests())}});
     m_server->BeginDrain();
     m_control.BeginDrain();
-    m_accept_until = Now() + kDrainAcceptTime;
-    m_stop_deadline = Now() + m_settings.shutdown_timeout - kStopMargin;
+    const MonotonicTime now = Now();
+    m_accept_until = now + kDrainAcceptTime;
+    m_stop_deadline = now + m_settings.shutdown_timeout - kStopMargin;
+    m_context.refuses_long_requests_at = now + m_settings.shutdown_timeout / 2;
+    m_context.responses_due_at = m_stop_deadline - kResponseMargin;
     ContinueStop();
   }
 
@@ -227,6 +232,9 @@
     if (Now() >= m_accept_until) {
       m_server->CloseCallerListener();
       m_server->CloseIdle();
+      if (Now() >= m_context.responses_due_at) {
+        m_server->ExpireRequests();
+      }
       if (!m_server->has_open_sessions() || Now() >= m_stop_deadline) {
         m_log.Write("stopped",
                     {{"busy", std::to_string(m_server->active_requests())}});
--- a/src/transport/gateway/gateway_context.h
+++ b/src/transport/gateway/gateway_context.h
@@ -105,6 +105,11 @@
   // The instance is shutting down: each connection is closed after its next
   // response.
   bool draining = false;
+  // While it is shutting down: from when on requests whose deadline is later
+  // than `responses_due_at` are not sent to a target any more, and when all
+  // requests in progress are ended.
+  MonotonicTime refuses_long_requests_at = MonotonicTime::max();
+  MonotonicTime responses_due_at = MonotonicTime::max();
 };
 
 }  // namespace snipehall
--- a/src/transport/gateway/gateway_request.cc
+++ b/src/transport/gateway/gateway_request.cc
@@ -39,6 +39,11 @@
   CancelWait();
 }
 
+void GatewayRequest::Expire() {
+  m_deadline_passed = true;
+  CancelWait();
+}
+
 void GatewayRequest::OnCallerDisconnected() {
   m_caller_disconnected = true;
   CancelWait();
--- a/src/transport/gateway/gateway_request.h
+++ b/src/transport/gateway/gateway_request.h
@@ -34,6 +34,9 @@
   void ClearStepDeadline();
   bool step_expired() const { return m_step_expired; }
 
+  // Ends the request as if its deadline had passed: the process ends.
+  void Expire();
+
   // Called when the caller has closed its connection; cancels the current wait.
   void OnCallerDisconnected();
 
--- a/src/transport/gateway/gateway_server.cc
+++ b/src/transport/gateway/gateway_server.cc
@@ -146,6 +146,14 @@
   }
 }
 
+void GatewayServer::ExpireRequests() {
+  const std::vector<GatewaySession*> sessions(m_context.sessions.begin(),
+                                              m_context.sessions.end());
+  for (GatewaySession* session : sessions) {
+    session->ExpireRequests();
+  }
+}
+
 int GatewayServer::active_requests() const {
   int count = 0;
   for (const GatewaySession* session : m_context.sessions) {
--- a/src/transport/gateway/gateway_server.h
+++ b/src/transport/gateway/gateway_server.h
@@ -41,6 +41,8 @@
   void CloseCallerListener();
   // Closes callers' connections without a request in progress.
   void CloseIdle();
+  // Ends all requests in progress, each with a response.
+  void ExpireRequests();
 
   // Number of requests in progress.
   int active_requests() const;
--- a/src/transport/gateway/gateway_session.cc
+++ b/src/transport/gateway/gateway_session.cc
@@ -79,6 +79,15 @@
   }
 }
 
+void GatewaySession::ExpireRequests() {
+  const auto pipeline = m_pipeline;
+  for (const std::shared_ptr<Exchange>& exchange : pipeline) {
+    if (!exchange->complete) {
+      exchange->request.Expire();
+    }
+  }
+}
+
 RequestLimits GatewaySession::limits() const {
   return m_context.state.policy() ? m_context.state.policy()->limits()
                                   : RequestLimits();
--- a/src/transport/gateway/gateway_session.h
+++ b/src/transport/gateway/gateway_session.h
@@ -39,6 +39,8 @@
   // the connection is so new that its first request may be on its way. For
   // shutdown.
   void CloseIfIdle();
+  // Ends the requests in progress, each with a response.
+  void ExpireRequests();
 
  private:
   // A request with its response.
--- a/tests/process/gateway_test.cc
+++ b/tests/process/gateway_test.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "process/support/gateway_cluster.h"
+#include "unit/support/raw_socket.h"
 
 #include <criterion/criterion.h>
 
@@ -303,5 +304,35 @@
       "request failed after the records expired");
 }
 
+// Guards against requests in a planned stop that are sent to a target and get
+// no response because the process ends first.
+Test(gateway, requests_that_outlast_a_planned_stop_are_answered) {
+  constexpr int kCallers = 12;
+  // Up to 8 s of work; the process ends 5.1 s after the signal.
+  GatewayCluster cluster({.gateways = 2, .keyed_targets = 4, .work_ms = 4000});
+  cluster.PublishConfiguration(2, 8000);
+  cluster.WaitUntilReady(Clock::now() + seconds(15));
+  std::vector<RawSocket> callers;
+  const Clock::time_point signalled = Clock::now();
+  cluster.Signal(0, SIGTERM);
+  std::this_thread::sleep_until(signalled + milliseconds(2200));
+  for (int i = 0; i < kCallers; ++i) {
+    callers.push_back(RawSocket::Connect(cluster.address(0)));
+    callers.back().Send(
+        "GET /catalog/item HTTP/1.1\r\nHost: shop.example\r\nShard-Key: " +
+        std::to_string(i * 5000) + "\r\nAttempt-Id: late-" + std::to_string(i) +
+        "\r\nDeadline-Ms: 8000\r\n\r\n");
+  }
+  int answered = 0;
+  for (RawSocket& caller : callers) {
+    const std::string response = caller.ReadThrough("\r\n\r\n");
+    answered += response.ends_with("\r\n\r\n") ? 1 : 0;
+  }
+  Require(answered == kCallers,
+          std::to_string(answered) + " requests were answered");
+  Require(cluster.WaitForExit(0, signalled + seconds(6)).has_value(),
+          "the process has not ended in time");
+}
+
 }  // namespace
 }  // namespace snipehall::test
--- a/tests/process/support/gateway_cluster.cc
+++ b/tests/process/support/gateway_cluster.cc
@@ -89,7 +89,8 @@
 }  // namespace
 
 GatewayCluster::GatewayCluster(const Options& options)
-    : m_initial_refusals(options.initial_refusals),
+    : m_work_ms(options.work_ms),
+      m_initial_refusals(options.initial_refusals),
       m_rate_limit(options.rate_limit) {
   const std::string errors = (m_directory.path() / "errors").string();
   m_store = std::make_unique<Process>(
@@ -144,6 +145,8 @@
       (m_directory.path() / "events").string(),
       "--refused",
       std::to_string(m_initial_refusals),
+      "--work-ms",
+      std::to_string(m_work_ms),
       "--rate-limit",
       m_rate_limit,
       "--poison",
--- a/tests/process/support/gateway_cluster.h
+++ b/tests/process/support/gateway_cluster.h
@@ -23,6 +23,8 @@
     int gateways = 3;
     int keyed_targets = 4;
     int unkeyed_targets = 2;
+    // Mean time that a target takes for a request, milliseconds.
+    int work_ms = 30;
     // Number of requests that each target refuses after its start although it
     // has free slots.
     int initial_refusals = 0;
@@ -113,6 +115,7 @@
   TemporaryDirectory m_directory;
   std::unique_ptr<Process> m_store;
   std::string m_store_address;
+  int m_work_ms = 0;
   int m_initial_refusals = 0;
   std::string m_rate_limit;
   std::vector<Target> m_targets;
