Wait for the last grant also if its target has restarted

Two targets could hold the same keys.

Cause: the previous change waited for grants in flight and unanswered ones. But also a grant that was answered may have been answered by the new process: the leader learns of the restart later.

Change: the keys of a restarted target that does not answer move only after its last grant has ended, like those of any other. A restarted target that answers gets its keys back at once, as before. This makes the distinction of unanswered grants superfluous.

--- a/src/coordination/key_leader.cc
+++ b/src/coordination/key_leader.cc
@@ -95,7 +95,6 @@
   if (!IsNamedLeader()) {
     m_ranges.clear();
     m_granted_until.clear();
-    m_unanswered_until.clear();
     m_grants_in_flight.clear();
     m_next_probe.clear();
     return;
@@ -254,20 +253,9 @@
 }
 
 bool KeyLeader::MayHold(MonotonicTime now, const KeyAssignment& range) const {
-  const ListedTarget* known = FindKnownTarget(range.owner);
-  const bool same_process =
-      known == nullptr || known->start_time_ms == range.owner_start_time_ms;
-  return !HasTerminated(range.owner) &&
-         (same_process ? MayHaveGrant(now, range.owner)
-                       : MayHaveUnansweredGrant(now, range.owner));
-}
-
-bool KeyLeader::MayHaveUnansweredGrant(MonotonicTime now,
-                                       std::string_view target) const {
-  const auto in_flight = m_grants_in_flight.find(target);
-  const auto unanswered = m_unanswered_until.find(target);
-  return (in_flight != m_grants_in_flight.end() && in_flight->second > 0) ||
-         (unanswered != m_unanswered_until.end() && now < unanswered->second);
+  // A process that was started since may have received a grant that was sent
+  // before its start was known.
+  return !HasTerminated(range.owner) && MayHaveGrant(now, range.owner);
 }
 
 std::vector<KeyCandidate> KeyLeader::Candidates(
@@ -680,12 +668,8 @@
   }
   if (outcome == KeyOrderOutcome::kDone ||
       outcome == KeyOrderOutcome::kUnknown) {
-    const MonotonicTime end = now + LongestElapsedTime(order.grant_duration);
     MonotonicTime& until = m_granted_until[order.target];
-    until = std::max(until, end);
-    if (outcome == KeyOrderOutcome::kUnknown) {
-      m_unanswered_until.insert_or_assign(order.target, end);
-    }
+    until = std::max(until, now + LongestElapsedTime(order.grant_duration));
   }
 }
 
--- a/src/coordination/key_leader.h
+++ b/src/coordination/key_leader.h
@@ -326,9 +326,6 @@
   // Whether a grant to the target, by this leader or an earlier one, may be
   // valid or in flight.
   bool MayHaveGrant(MonotonicTime now, std::string_view target) const;
-  // Whether a grant of this leader, sent to an earlier process of the target for
-  // all it knew, may have reached the present one or may still do so.
-  bool MayHaveUnansweredGrant(MonotonicTime now, std::string_view target) const;
   // Returns the state of the range with the same first key, or null.
   const RangeState* FindState(const ServiceName& service,
                               const KeyAssignment& range) const;
@@ -403,8 +400,6 @@
   // in flight.
   std::map<TargetId, MonotonicTime, std::less<>> m_granted_until;
   std::map<TargetId, int, std::less<>> m_grants_in_flight;
-  // When the last grant to each target expires whose outcome is not known.
-  std::map<TargetId, MonotonicTime, std::less<>> m_unanswered_until;
   // Targets that did not answer an order, with the time of the next probe. They
   // get no grants until they answer, so that their last grant expires.
   std::map<TargetId, MonotonicTime, std::less<>> m_next_probe;
--- a/tests/unit/key_leader_test.cc
+++ b/tests/unit/key_leader_test.cc
@@ -322,15 +322,18 @@
   cr_assert_not(fixture.Range(0).moving());
 }
 
-// Guards against two owners of a key: a grant that was sent before the leader
-// knew of the restart may reach the new process late.
-Test(key_leader, restarted_owner_with_a_grant_in_flight_keeps_its_keys) {
+// Requires that the keys of target "a" are not granted to another target after
+// "a" has restarted and does not answer, when the last grant to it ended with
+// `outcome`; with none it is in flight.
+void RequireRestartedOwnerKeepsKeys(std::optional<KeyOrderOutcome> outcome) {
   LeaderFixture fixture;
   fixture.BecomeLeaderOfTwoTargets();
   fixture.Advance(KeyLeader::kRenewalInterval);
   for (const KeyOrder& order : fixture.TakeDueOrders()) {
     if (order.target != "a") {
       fixture.Finish(order, KeyOrderOutcome::kDone);
+    } else if (outcome) {
+      fixture.Finish(order, *outcome);
     }
   }
   KeyOrder probe;
@@ -346,6 +349,14 @@
   }
 }
 
+// Guards against two owners of a key: a grant that was sent before the leader
+// knew of the restart may have reached the new process.
+Test(key_leader, restarted_owner_with_a_recent_grant_keeps_its_keys) {
+  RequireRestartedOwnerKeepsKeys(std::nullopt);
+  RequireRestartedOwnerKeepsKeys(KeyOrderOutcome::kUnknown);
+  RequireRestartedOwnerKeepsKeys(KeyOrderOutcome::kDone);
+}
+
 // Guards against grants that are no longer renewed because a grant of the whole
 // range was in flight while a part of the range was released.
 Test(key_leader, rejected_grant_of_a_former_range_does_not_stop_renewals) {
