Send no requests to a target that has asked for a pause

Change: each instance keeps the pauses that targets have asked it for (TargetPauses, at most ten minutes, forgotten with the target). Meanwhile a request goes to another target; if there is none, or the target owns its key, it is refused at once, and Retry-After says how long the pause still lasts.

--- a/src/protocol/gateway_headers.cc
+++ b/src/protocol/gateway_headers.cc
@@ -18,6 +18,9 @@
 // Greatest time left that a caller may give; greater values are reduced to it.
 constexpr std::int64_t kMaxTimeLeftMs = 600000;
 
+// Greatest time of a Retry-After header that is used.
+constexpr double kMaxPauseSeconds = 600;
+
 boost::beast::string_view ToBeastView(std::string_view name) {
   return {name.data(), name.size()};
 }
@@ -45,7 +48,7 @@
 
 // Parses a non-negative decimal number. Returns nothing if the text is
 // malformed.
-std::optional<double> ParseRate(std::string_view text) {
+std::optional<double> ParseDecimal(std::string_view text) {
   double rate = 0;
   if (!ParseNumber(text, rate) || !std::isfinite(rate) || rate < 0) {
     return std::nullopt;
@@ -53,6 +56,17 @@
   return rate;
 }
 
+// Parses a number of seconds, which may have a fraction. Returns nothing if the
+// text is malformed; a greater time than kMaxPauseSeconds counts as that.
+std::optional<Milliseconds> ParseSeconds(std::string_view text) {
+  const std::optional<double> seconds = ParseDecimal(text);
+  if (!seconds) {
+    return std::nullopt;
+  }
+  return std::chrono::ceil<Milliseconds>(
+      std::chrono::duration<double>(std::min(*seconds, kMaxPauseSeconds)));
+}
+
 void AppendStatusLine(unsigned status,
                       std::string_view reason,
                       std::string& out) {
@@ -134,7 +148,10 @@
   info.has_content_encoding = response.count(http::field::content_encoding) > 0;
   info.load = ParseLoad(ToStringView(response[ToBeastView(names.load)]));
   info.rate_limit =
-      ParseRate(ToStringView(response[ToBeastView(names.rate_limit)]));
+      ParseDecimal(ToStringView(response[ToBeastView(names.rate_limit)]));
+  if (response.result() == http::status::service_unavailable) {
+    info.pause = ParseSeconds(ToStringView(response[http::field::retry_after]));
+  }
   return info;
 }
 
--- a/src/protocol/gateway_headers.h
+++ b/src/protocol/gateway_headers.h
@@ -90,6 +90,9 @@
   // Requests per second, at least 0; no value if the header is missing or
   // malformed.
   std::optional<double> rate_limit;
+  // How long the target wants no requests from this instance: Retry-After of a
+  // response with status 503. No value if it is missing or not a number.
+  std::optional<Milliseconds> pause;
 };
 
 // Parses the head of a target's response to the request with `request_id`.
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -189,6 +189,9 @@
         m_context.rate_limits.Retain([this](const TargetId& id) {
           return m_state.targets().contains(id);
         });
+        m_context.pauses.Retain(Now(), [this](const TargetId& id) {
+          return m_state.targets().contains(id);
+        });
         ScheduleReports();
       }
     });
--- a/src/transport/gateway/gateway_context.h
+++ b/src/transport/gateway/gateway_context.h
@@ -12,6 +12,7 @@
 #include "coordination/buffer_budget.h"
 #include "coordination/key_load_recorder.h"
 #include "coordination/poison_request_detector.h"
+#include "coordination/target_pauses.h"
 #include "coordination/target_rate_limits.h"
 #include "protocol/gateway_headers.h"
 #include "transport/gateway/gateway_metrics.h"
@@ -74,6 +75,7 @@
   TargetPools pools;
   KeyLoadRecorder key_loads;
   TargetRateLimits rate_limits;
+  TargetPauses pauses;
   PoisonRequestDetector poison_requests;
   // Memory for the bodies of targets' responses.
   BufferBudget response_buffers;
--- a/src/transport/gateway/gateway_router.cc
+++ b/src/transport/gateway/gateway_router.cc
@@ -81,12 +81,22 @@
     action = co_await WaitForStateChange(cause, m_context.state.version());
     co_return action;
   }
+  const Milliseconds pause = m_context.pauses.Remaining(Now(), m_target.id);
+  if (pause.count() > 0) {
+    m_context.metrics.IncrementEvent("target_paused");
+    co_return TryOtherTarget("target asked for a pause",
+                             std::max(pause, kMinLimitRetryAfter));
+  }
   const bool permitted = co_await AcquirePermit();
   if (m_request.CheckInterrupted()) {
     co_return HandleInterruption();
   }
   if (!permitted) {
-    co_return HandleRateLimit();
+    m_context.metrics.IncrementEvent("rate_limited");
+    co_return TryOtherTarget(
+        "target rate limit",
+        std::clamp(m_limit_retry_after, kMinLimitRetryAfter,
+                   kMaxLimitRetryAfter));
   }
   action = co_await RunAttempt();
   co_return action;
@@ -193,8 +203,8 @@
   co_return m_context.rate_limits.TryTake(now, m_target.id);
 }
 
-GatewayRouter::Action GatewayRouter::HandleRateLimit() {
-  m_context.metrics.IncrementEvent("rate_limited");
+GatewayRouter::Action GatewayRouter::TryOtherTarget(std::string_view cause,
+                                                    Milliseconds wait) {
   const bool other_targets =
       !m_keyed && std::find(m_tried_targets.begin(), m_tried_targets.end(),
                             m_target.id) == m_tried_targets.end();
@@ -202,9 +212,7 @@
     m_tried_targets.push_back(m_target.id);
     return Action::kRetry;
   }
-  return FinishUnavailable("target rate limit",
-                           std::clamp(m_limit_retry_after, kMinLimitRetryAfter,
-                                      kMaxLimitRetryAfter));
+  return FinishUnavailable(cause, wait);
 }
 
 Task<GatewayRouter::Action> GatewayRouter::RunAttempt() {
@@ -271,13 +279,13 @@
   Action action = Action::kRetry;
   switch (end) {
     case TargetExchangeResult::kAnswered:
-      RecordRateLimit(exchange.info());
+      RecordLimits(exchange.info());
       chooser.OnAnswered(Now(), m_target.id, exchange.info().load);
       RecordServiceTime(exchange, sent);
       RecordResponse();
       co_return AcceptResponse(exchange);
     case TargetExchangeResult::kRefused:
-      RecordRateLimit(exchange.info());
+      RecordLimits(exchange.info());
       chooser.OnFailed(Now(), m_target.id);
       action = co_await HandleRefusal(exchange);
       co_return action;
@@ -301,7 +309,11 @@
   co_return HandleInterruption();
 }
 
-void GatewayRouter::RecordRateLimit(const TargetResponseInfo& info) {
+void GatewayRouter::RecordLimits(const TargetResponseInfo& info) {
+  if (info.pause) {
+    m_context.pauses.OnPause(Now(), m_target.id, *info.pause);
+  }
+
   const bool changed =
       m_context.rate_limits.OnResponse(Now(), m_target.id, info.rate_limit);
   if (changed && m_context.on_rate_limit) {
--- a/src/transport/gateway/gateway_router.h
+++ b/src/transport/gateway/gateway_router.h
@@ -74,14 +74,16 @@
   // Whether `m_target` may be sent the request within its rate limit, if it has
   // one.
   Task<bool> AcquirePermit();
-  // What follows if it may not.
-  Action HandleRateLimit();
+  // What follows if `m_target` takes no requests for `wait`: another target, or
+  // a refusal with `cause`.
+  Action TryOtherTarget(std::string_view cause, Milliseconds wait);
   // Connects to `m_target` if needed and sends the request once.
   Task<Action> RunAttempt();
   // False when the connection failed or the request was interrupted.
   Task<bool> Connect(TargetPool& pool, ByteStream& stream);
-  // Updates what is known of the target's rate limit after a response.
-  void RecordRateLimit(const TargetResponseInfo& info);
+  // Updates what is known of the target's rate limit, and of the pause that it
+  // asks for, after a response.
+  void RecordLimits(const TargetResponseInfo& info);
   // Records the service time of a keyed service's target, which the leader uses
   // to balance keys.
   void RecordServiceTime(const TargetExchange& exchange, MonotonicTime sent);
