--- a/src/coordination/key_leader.h
+++ b/src/coordination/key_leader.h
@@ -62,6 +62,8 @@
   unsigned status = 0;
   // State returned by a release; see KeyOrder::handover_state.
   std::string handover;
+  // The target has stated in its response that it is leaving.
+  bool leaving = false;
 };
 
 // Coordinates the owners of keys: decides which orders the leader sends to the
--- a/src/coordination/leader_message.h
+++ b/src/coordination/leader_message.h
@@ -97,6 +97,14 @@
   std::vector<RequestDigest> digests;
 };
 
+// Tells the leader that a target has stated that it is leaving. The list of
+// targets may show it later, or not at all.
+struct LeaderTargetLeaving {
+  TargetId target;
+  // Of the target's process; see ListedTarget::start_time_ms.
+  std::int64_t start_time_ms = 0;
+};
+
 // A datagram between an instance and the leader.
 struct LeaderMessage {
   InstanceId from;
@@ -109,6 +117,7 @@
                LeaderTargetLost,
                LeaderRequestHarmless,
                LeaderRequestsBlocked,
+               LeaderTargetLeaving,
                LeaderPermitRequest,
                LeaderPermitResponse>
       content;
--- a/src/coordination/target_registry.cc
+++ b/src/coordination/target_registry.cc
@@ -107,6 +107,18 @@
   m_changed = true;
 }
 
+void TargetRegistry::OnLeaving(std::string_view id,
+                               std::int64_t start_time_ms) {
+  const auto known = m_targets.find(id);
+  if (known == m_targets.end() || known->second.draining ||
+      known->second.start_time_ms != start_time_ms) {
+    return;
+  }
+  known->second.draining = true;
+  m_newest_entries.insert_or_assign(TargetId(id), known->second);
+  m_changed = true;
+}
+
 void TargetRegistry::Expire(MonotonicTime now) {
   std::erase_if(m_missing_until, [this, now](const auto& item) {
     if (now < item.second) {
--- a/src/coordination/target_registry.h
+++ b/src/coordination/target_registry.h
@@ -42,6 +42,10 @@
   // may be back and are ignored.
   void OnRestoredList(MonotonicTime now, Changes entries);
 
+  // Call when the target has stated that it is leaving; it counts as draining
+  // from then on. Ignored if the process with this start time is not listed.
+  void OnLeaving(std::string_view id, std::int64_t start_time_ms);
+
   // Removes the targets that were missing after an interruption and did not
   // return within kReturnTimeout. Call it regularly.
   void Expire(MonotonicTime now);
--- a/src/protocol/gateway_headers.cc
+++ b/src/protocol/gateway_headers.cc
@@ -149,6 +149,9 @@
   info.load = ParseLoad(ToStringView(response[ToBeastView(names.load)]));
   info.rate_limit =
       ParseDecimal(ToStringView(response[ToBeastView(names.rate_limit)]));
+  // Another target may have the address by now.
+  info.leaving = response.count(ToBeastView(names.leaving)) > 0 &&
+                 response.result() != http::status::misdirected_request;
   if (response.result() == http::status::service_unavailable) {
     info.pause = ParseSeconds(ToStringView(response[http::field::retry_after]));
   }
--- a/src/protocol/gateway_headers.h
+++ b/src/protocol/gateway_headers.h
@@ -40,6 +40,9 @@
   // Set by an overloaded target: number of requests per second, a decimal
   // number, that it takes from all instances together while it sets the header.
   std::string_view rate_limit = "Snipehall-Rate-Limit";
+  // Set by the target, to any value, in all responses once it is leaving. It is
+  // to get no new requests.
+  std::string_view leaving = "Snipehall-Leaving";
 };
 
 // Values from the headers of a caller's request. The view points into the
@@ -90,6 +93,8 @@
   // Requests per second, at least 0; no value if the header is missing or
   // malformed.
   std::optional<double> rate_limit;
+  // The target is leaving.
+  bool leaving = false;
   // How long the target wants no requests from this instance: Retry-After of a
   // response with status 503. No value if it is missing or not a number.
   std::optional<Milliseconds> pause;
--- a/src/protocol/lead_message.capnp
+++ b/src/protocol/lead_message.capnp
@@ -36,6 +36,8 @@
     harmless @10 :UInt64;
     # From the leader: digests of the requests that crash their targets.
     blocked @11 :List(UInt64);
+    # To the leader: a target has stated that it is leaving.
+    leaving @12 :TargetLeaving;
   }
 }
 
@@ -82,6 +84,12 @@
   sentAgoMs @1 :UInt32;
 }
 
+struct TargetLeaving {
+  id @0 :Text;
+  # Start time of the target's process, Unix time in milliseconds.
+  startMs @1 :Int64;
+}
+
 struct Replaced {
   # Term of the successor.
   term @0 :UInt64;
--- a/src/protocol/lead_message.capnp.h
+++ b/src/protocol/lead_message.capnp.h
@@ -22,6 +22,7 @@
 CAPNP_DECLARE_SCHEMA(e525d6843db21571);
 CAPNP_DECLARE_SCHEMA(eb21fb7be1473318);
 CAPNP_DECLARE_SCHEMA(e4d78d9389e1e5b4);
+CAPNP_DECLARE_SCHEMA(897ba0b37356d337);
 CAPNP_DECLARE_SCHEMA(eef3dcc479991b0e);
 CAPNP_DECLARE_SCHEMA(89f62009bfccd807);
 CAPNP_DECLARE_SCHEMA(f5317be38cc662b8);
@@ -50,6 +51,7 @@
     TARGET_LOST,
     HARMLESS,
     BLOCKED,
+    LEAVING,
   };
 
   struct _capnpPrivate {
@@ -135,6 +137,21 @@
   };
 };
 
+struct TargetLeaving {
+  TargetLeaving() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(897ba0b37356d337, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Replaced {
   Replaced() = delete;
 
@@ -245,6 +262,10 @@
   inline bool hasBlocked() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getBlocked() const;
 
+  inline bool isLeaving() const;
+  inline bool hasLeaving() const;
+  inline  ::snipehall::wire::TargetLeaving::Reader getLeaving() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -359,6 +380,14 @@
   inline void adoptBlocked(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownBlocked();
 
+  inline bool isLeaving();
+  inline bool hasLeaving();
+  inline  ::snipehall::wire::TargetLeaving::Builder getLeaving();
+  inline void setLeaving( ::snipehall::wire::TargetLeaving::Reader value);
+  inline  ::snipehall::wire::TargetLeaving::Builder initLeaving();
+  inline void adoptLeaving(::capnp::Orphan< ::snipehall::wire::TargetLeaving>&& value);
+  inline ::capnp::Orphan< ::snipehall::wire::TargetLeaving> disownLeaving();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -841,6 +870,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class TargetLeaving::Reader {
+public:
+  typedef TargetLeaving Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline  ::int64_t getStartMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TargetLeaving::Builder {
+public:
+  typedef TargetLeaving Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline  ::int64_t getStartMs();
+  inline void setStartMs( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TargetLeaving::Pipeline {
+public:
+  typedef TargetLeaving Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Replaced::Reader {
 public:
   typedef Replaced Reads;
@@ -1687,6 +1802,60 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool LeadMessage::Reader::isLeaving() const {
+  return which() == LeadMessage::LEAVING;
+}
+inline bool LeadMessage::Builder::isLeaving() {
+  return which() == LeadMessage::LEAVING;
+}
+inline bool LeadMessage::Reader::hasLeaving() const {
+  if (which() != LeadMessage::LEAVING) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool LeadMessage::Builder::hasLeaving() {
+  if (which() != LeadMessage::LEAVING) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::snipehall::wire::TargetLeaving::Reader LeadMessage::Reader::getLeaving() const {
+  KJ_IREQUIRE((which() == LeadMessage::LEAVING),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::snipehall::wire::TargetLeaving>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::snipehall::wire::TargetLeaving::Builder LeadMessage::Builder::getLeaving() {
+  KJ_IREQUIRE((which() == LeadMessage::LEAVING),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::snipehall::wire::TargetLeaving>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void LeadMessage::Builder::setLeaving( ::snipehall::wire::TargetLeaving::Reader value) {
+  _builder.setDataField<LeadMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LeadMessage::LEAVING);
+  ::capnp::_::PointerHelpers< ::snipehall::wire::TargetLeaving>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::snipehall::wire::TargetLeaving::Builder LeadMessage::Builder::initLeaving() {
+  _builder.setDataField<LeadMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LeadMessage::LEAVING);
+  return ::capnp::_::PointerHelpers< ::snipehall::wire::TargetLeaving>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void LeadMessage::Builder::adoptLeaving(
+    ::capnp::Orphan< ::snipehall::wire::TargetLeaving>&& value) {
+  _builder.setDataField<LeadMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LeadMessage::LEAVING);
+  ::capnp::_::PointerHelpers< ::snipehall::wire::TargetLeaving>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::snipehall::wire::TargetLeaving> LeadMessage::Builder::disownLeaving() {
+  KJ_IREQUIRE((which() == LeadMessage::LEAVING),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::snipehall::wire::TargetLeaving>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool Report::Reader::hasZone() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2002,6 +2171,54 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool TargetLeaving::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool TargetLeaving::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader TargetLeaving::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder TargetLeaving::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TargetLeaving::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder TargetLeaving::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void TargetLeaving::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> TargetLeaving::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t TargetLeaving::Reader::getStartMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t TargetLeaving::Builder::getStartMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TargetLeaving::Builder::setStartMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Replaced::Reader::getTerm() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/protocol/leader_message_codec.cc
+++ b/src/protocol/leader_message_codec.cc
@@ -112,6 +112,11 @@
       digests.set(i, blocked.digests[i]);
     }
   }
+  void operator()(const LeaderTargetLeaving& leaving) {
+    auto builder = root.initLeaving();
+    builder.setId(ToText(leaving.target));
+    builder.setStartMs(leaving.start_time_ms);
+  }
   void operator()(const LeaderReplaced& replaced) {
     auto builder = root.initReplaced();
     builder.setTerm(replaced.term);
@@ -185,6 +190,11 @@
       message.content = std::move(blocked);
       return message;
     }
+    case wire::LeadMessage::LEAVING:
+      message.content =
+          LeaderTargetLeaving{FromText(reader.getLeaving().getId()),
+                              reader.getLeaving().getStartMs()};
+      return message;
     case wire::LeadMessage::REPLACED:
       message.content =
           LeaderReplaced{reader.getReplaced().getTerm(),
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -94,6 +94,10 @@
     m_context.on_harmless_request = [this](RequestDigest digest) {
       m_control.ReportHarmless(digest);
     };
+    m_context.on_target_leaving = [this](std::string_view target,
+                                         std::int64_t start_time_ms) {
+      m_control.OnTargetLeaving(target, start_time_ms);
+    };
     m_context.on_exception = [this](std::string_view request_id,
                                     std::string_view error) {
       m_log.Write("exception", {{"id", request_id}, {"error", error}});
--- a/src/transport/gateway/gateway_context.h
+++ b/src/transport/gateway/gateway_context.h
@@ -95,6 +95,10 @@
   // Called when a target has responded to a request that was suspected to crash
   // targets.
   std::function<void(RequestDigest digest)> on_harmless_request;
+  // Called when a target has stated that it is leaving; `start_time_ms` is that
+  // of its process, as far as it was known when the request was sent.
+  std::function<void(std::string_view target, std::int64_t start_time_ms)>
+      on_target_leaving;
   // Asks the leader for a permit to send a request to `target`, which limits
   // its request rate; see GatewayControl::RequestPermit().
   std::function<void(std::string_view target,
--- a/src/transport/gateway/gateway_control.h
+++ b/src/transport/gateway/gateway_control.h
@@ -242,6 +242,21 @@
     }
   }
 
+  // Call when a target has stated in a response that it is leaving. It gets no
+  // new requests from then on, and the leader moves its keys.
+  void OnTargetLeaving(std::string_view target, std::int64_t start_time_ms) {
+    m_registry.OnLeaving(target, start_time_ms);
+    if (!PublishTargets(Now())) {
+      return;
+    }
+    m_metrics.IncrementEvent("target_leaving");
+    if (!m_key_leader.IsNamedLeader()) {
+      m_link.Send(
+          m_state.keys().leader_address,
+          {m_instance, LeaderTargetLeaving{TargetId(target), start_time_ms}});
+    }
+  }
+
   // Call when a target has responded to a suspected request. Tells the leader
   // or, on the leader, the other instances.
   void ReportHarmless(RequestDigest digest) {
@@ -427,6 +442,11 @@
           m_poison_requests.OnBlocked(now, digest);
         }
       }
+    } else if (const auto* leaving =
+                   std::get_if<LeaderTargetLeaving>(&message.content)) {
+      if (m_key_leader.IsNamedLeader()) {
+        OnTargetLeaving(leaving->target, leaving->start_time_ms);
+      }
     } else if (const auto* replaced =
                    std::get_if<LeaderReplaced>(&message.content)) {
       m_key_leader.OnLeaderReplaced(now, *replaced);
@@ -628,14 +648,21 @@
     }
     m_registry.Expire(now);
     m_has_targets = true;
-    if (m_registry.TakeChanged()) {
-      m_metrics.SetGauge("targets",
-                         static_cast<double>(m_registry.targets().size()));
-      LogTargets(m_state.targets(), m_registry.targets());
-      m_state.SetTargets(m_registry.targets());
-      m_key_leader.OnTargets(now, m_registry.targets());
-      WakeLeader();
+    PublishTargets(now);
+  }
+
+  // Passes the targets on if they have changed. Returns whether they had.
+  bool PublishTargets(MonotonicTime now) {
+    if (!m_registry.TakeChanged()) {
+      return false;
     }
+    m_metrics.SetGauge("targets",
+                       static_cast<double>(m_registry.targets().size()));
+    LogTargets(m_state.targets(), m_registry.targets());
+    m_state.SetTargets(m_registry.targets());
+    m_key_leader.OnTargets(now, m_registry.targets());
+    WakeLeader();
+    return true;
   }
 
   // Logs targets that appeared, changed state or disappeared.
@@ -840,16 +867,26 @@
     const Milliseconds limit = order.kind == KeyOrder::Kind::kRelease
                                    ? kReleaseTimeout
                                    : KeyLeader::kOrderTimeout;
+    const std::int64_t start_time_ms = StartTimeOf(order.target);
     const KeyOrderResult result = co_await orders->Send(order, Now() + limit);
     if (m_stopped) {
       co_return;
     }
+    if (result.leaving) {
+      OnTargetLeaving(order.target, start_time_ms);
+    }
     m_order_clients[order.address].push_back(orders);
     RecordOrder(order, result);
     m_key_leader.OnOrderResult(Now(), order, result);
     WakeLeader();
   }
 
+  // Start time of the target's process; zero if the target is not listed.
+  std::int64_t StartTimeOf(std::string_view target) const {
+    const auto found = m_state.targets().find(target);
+    return found == m_state.targets().end() ? 0 : found->second.start_time_ms;
+  }
+
   // Returns an idle client for the order's target, or a new one, because a
   // client sends only one order at a time.
   std::shared_ptr<Orders> AcquireOrderClient(const KeyOrder& order) {
--- a/src/transport/gateway/gateway_router.cc
+++ b/src/transport/gateway/gateway_router.cc
@@ -261,6 +261,10 @@
     co_return HandleInterruption();
   }
   ++m_attempts;
+  const auto listed = m_context.state.targets().find(m_target.id);
+  m_target_start_ms = listed == m_context.state.targets().end()
+                          ? 0
+                          : listed->second.start_time_ms;
   const MonotonicTime sent = Now();
   m_sent_after =
       std::chrono::duration_cast<Milliseconds>(sent - m_request.received_at);
@@ -279,13 +283,13 @@
   Action action = Action::kRetry;
   switch (end) {
     case TargetExchangeResult::kAnswered:
-      RecordLimits(exchange.info());
+      RecordTargetState(exchange.info());
       chooser.OnAnswered(Now(), m_target.id, exchange.info().load);
       RecordServiceTime(exchange, sent);
       RecordResponse();
       co_return AcceptResponse(exchange);
     case TargetExchangeResult::kRefused:
-      RecordLimits(exchange.info());
+      RecordTargetState(exchange.info());
       chooser.OnFailed(Now(), m_target.id);
       action = co_await HandleRefusal(exchange);
       co_return action;
@@ -309,7 +313,10 @@
   co_return HandleInterruption();
 }
 
-void GatewayRouter::RecordLimits(const TargetResponseInfo& info) {
+void GatewayRouter::RecordTargetState(const TargetResponseInfo& info) {
+  if (info.leaving && m_context.on_target_leaving) {
+    m_context.on_target_leaving(m_target.id, m_target_start_ms);
+  }
   if (info.pause) {
     m_context.pauses.OnPause(Now(), m_target.id, *info.pause);
   }
--- a/src/transport/gateway/gateway_router.h
+++ b/src/transport/gateway/gateway_router.h
@@ -81,9 +81,9 @@
   Task<Action> RunAttempt();
   // False when the connection failed or the request was interrupted.
   Task<bool> Connect(TargetPool& pool, ByteStream& stream);
-  // Updates what is known of the target's rate limit, and of the pause that it
-  // asks for, after a response.
-  void RecordLimits(const TargetResponseInfo& info);
+  // Updates what is known of the target after a response: its rate limit, the
+  // pause that it asks for, and whether it is leaving.
+  void RecordTargetState(const TargetResponseInfo& info);
   // Records the service time of a keyed service's target, which the leader uses
   // to balance keys.
   void RecordServiceTime(const TargetExchange& exchange, MonotonicTime sent);
@@ -115,6 +115,8 @@
   GatewayService* m_service = nullptr;
   bool m_keyed = false;
   RouteTarget m_target;
+  // Start time of the process of `m_target`; see ListedTarget.
+  std::int64_t m_target_start_ms = 0;
   // Token of the assignment from which the owner was chosen; zero for a service
   // without keys.
   FencingToken m_fencing_token = 0;
--- a/tests/standins/keyed_target.cc
+++ b/tests/standins/keyed_target.cc
@@ -3,11 +3,13 @@
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <chrono>
+#include <csignal>
 #include <cstdlib>
 #include <memory>
 #include <random>
@@ -75,8 +77,11 @@
         m_store(context.get_executor(), options.store, 1 << 20),
         m_registration_timer(context),
         m_stall_check_timer(context),
+        m_leave_signal(context, SIGUSR1),
         m_random(std::hash<std::string>()(options.id)) {
     CheckForStall();
+    m_leave_signal.async_wait(
+        [this](const auto& error, int) { m_leaving = !error; });
     m_events = ::open(options.events.c_str(),
                       O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
   }
@@ -95,7 +100,7 @@
     } else if (path == "/-/release") {
       Release(session);
     } else if (path == "/health") {
-      session->Answer(HttpResponse(http::status::ok, 11));
+      Answer(session, HttpResponse(http::status::ok, 11));
     } else {
       Execute(session);
     }
@@ -145,6 +150,15 @@
     steady_clock::time_point until;
   };
 
+  // Sends a response, which says so if the target is leaving.
+  void Answer(const std::shared_ptr<HttpSession>& session,
+              HttpResponse response) const {
+    if (m_leaving) {
+      response.set(m_names.leaving.data(), "1");
+    }
+    session->Answer(std::move(response));
+  }
+
   static std::string Header(const HttpRequest& request, std::string_view name) {
     const auto value = request[{name.data(), name.size()}];
     return {value.data(), value.size()};
@@ -192,7 +206,7 @@
     response.set(platform::kHeaderNames.not_run.data(), "1");
     response.set(m_names.load.data(), Load());
     SetRateLimit(response);
-    session->Answer(std::move(response));
+    Answer(session, std::move(response));
   }
 
   void SetRateLimit(HttpResponse& response) const {
@@ -252,11 +266,11 @@
     const auto hold =
         platform::ParseDuration(std::string(body.at("Hold").as_string()));
     if (!m_options.keyed || !hold.has_value()) {
-      session->Answer(HttpResponse(http::status::bad_request, 11));
+      Answer(session, HttpResponse(http::status::bad_request, 11));
       return;
     }
     if (HasNewerToken(first, last, fencing_token)) {
-      session->Answer(HttpResponse(http::status::conflict, 11));
+      Answer(session, HttpResponse(http::status::conflict, 11));
       return;
     }
     // The duration of the hold starts at the arrival of the request.
@@ -271,7 +285,7 @@
                  {"until_ms", std::chrono::duration_cast<Milliseconds>(
                                   until.time_since_epoch())
                                   .count()}});
-    session->Answer(HttpResponse(http::status::ok, 11));
+    Answer(session, HttpResponse(http::status::ok, 11));
   }
 
   void Release(const std::shared_ptr<HttpSession>& session) {
@@ -296,7 +310,7 @@
     if (running == m_running_keys.end() || *running > last) {
       HttpResponse response(http::status::ok, 11);
       response.set("Handover", m_options.id);
-      session->Answer(std::move(response));
+      Answer(session, std::move(response));
       return;
     }
     timer->expires_after(Milliseconds(5));
@@ -356,7 +370,7 @@
       response.set(m_names.load.data(), Load());
       SetRateLimit(response);
       response.body() = "answer to " + id;
-      session->Answer(std::move(response));
+      Answer(session, std::move(response));
     });
   }
 
@@ -365,6 +379,10 @@
   HttpConnection m_store;
   asio::steady_timer m_registration_timer;
   asio::steady_timer m_stall_check_timer;
+  // SIGUSR1 makes the target say that it is leaving in all responses. Its entry
+  // in the store stays as it is.
+  asio::signal_set m_leave_signal;
+  bool m_leaving = false;
   steady_clock::time_point m_last_stall_check;
   // Last stall that was detected.
   steady_clock::time_point m_stall_start;
--- a/tests/unit/key_codec_test.cc
+++ b/tests/unit/key_codec_test.cc
@@ -125,6 +125,16 @@
             std::vector<RequestDigest>({1, UINT64_MAX}));
 }
 
+Test(leader_message_codec, target_leaving_round_trip) {
+  const std::string bytes = EncodeLeaderMessage(
+      {"entry-1", LeaderTargetLeaving{"target-1", 1754000000123}});
+  const auto decoded = DecodeLeaderMessage({bytes.data(), bytes.size()});
+  cr_assert(decoded.has_value());
+  const auto& leaving = std::get<LeaderTargetLeaving>(decoded.value().content);
+  cr_assert(leaving.target == "target-1");
+  cr_assert_eq(leaving.start_time_ms, 1754000000123);
+}
+
 // Guards against a process that terminates because of a datagram that is not a
 // leader message.
 Test(leader_message_codec, malformed_datagrams_are_rejected) {
--- a/tests/unit/target_registry_test.cc
+++ b/tests/unit/target_registry_test.cc
@@ -164,5 +164,23 @@
   cr_assert(registry.targets().at("a").draining);
 }
 
+// Guards against requests to a target that has said that it is leaving, while
+// the list still says that it is ready; and against a new process that is taken
+// for the one that left.
+Test(target_registry, target_that_says_so_is_leaving_until_it_restarts) {
+  TargetRegistry registry;
+  ReadChange(registry, kStart, MakeEntry(1));
+  registry.OnLeaving("a", 2);
+  cr_assert_not(registry.targets().at("a").draining);
+  registry.OnLeaving("a", 1);
+  cr_assert(registry.targets().at("a").draining);
+  ReadChange(registry, kStart + Milliseconds(500), MakeEntry(2));
+  cr_assert(registry.targets().at("a").draining);
+  ReadChange(registry, kStart + Milliseconds(900), MakeEntry(1, 2));
+  cr_assert_not(registry.targets().at("a").draining);
+  registry.OnLeaving("unknown", 1);
+  cr_assert_eq(registry.targets().size(), 1);
+}
+
 }  // namespace
 }  // namespace snipehall
