Soak: restored stores and leaving targets; an instance behind its relay

Change: the soak restores the store from a copy and lets targets say that they are leaving, among its other faults. A test that an instance which cannot reach the store hears of a restore from its relay.

--- a/tests/process/restored_store_test.cc
+++ b/tests/process/restored_store_test.cc
@@ -168,6 +168,30 @@
   RequireOneOwnerPerKey(cluster);
 }
 
+// Guards against an instance without the store that follows the lost part of a
+// topic, since it hears of the restore from the instance that relays it only.
+Test(restored_store, instance_without_the_store_follows_its_relay) {
+  GatewayCluster cluster({});
+  ChangeOwnersAfterCopy(cluster);
+  const std::string leader = cluster.Leader(0);
+  const std::size_t cut = cluster.name(0) == leader ? 1 : 0;
+  cluster.StoreLink(cut).Pause();
+  std::this_thread::sleep_for(seconds(3));
+  cluster.ControlStore("/test/restore", "{}");
+  Require(WaitUntil(Clock::now() + seconds(6),
+                    [&] {
+                      return cluster.Metric(cut, "log_era keys") == 2 &&
+                             cluster.Metric(cut, "log_era targets") == 2;
+                    }),
+          "the instance without the store is in the earlier era");
+  cluster.ReplaceTarget(1);
+  for (int key = 0; key < 65536; key += 4096) {
+    Require(IsServed(cluster.address(cut), key, Clock::now() + kRecovery),
+            "key " + std::to_string(key) + " is not served");
+  }
+  RequireOneOwnerPerKey(cluster);
+}
+
 // Guards against a confirmed configuration that is replaced by the older one of
 // the copy.
 Test(restored_store, configuration_does_not_go_back) {
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -218,7 +218,7 @@
     const std::size_t gateway = RandomGateway();
     const std::size_t target = RandomTarget();
     const milliseconds time(200 + RandomBelow(5500));
-    switch (RandomBelow(13)) {
+    switch (RandomBelow(16)) {
       case 0:
         return KillAndRestart(gateway);
       case 1:
@@ -262,6 +262,16 @@
       case 11:
         m_cluster.Signal(gateway, SIGHUP);
         return;
+      case 12:
+      case 13:
+        m_cluster.ControlStore("/test/copy", "{}");
+        return ScheduleUndo(
+            time, [this] { m_cluster.ControlStore("/test/restore", "{}"); });
+      case 14:
+        // The target says that it is leaving, and leaves later.
+        m_cluster.SignalTarget(target, SIGUSR1);
+        return ScheduleUndo(
+            time, [this, target] { m_cluster.ReplaceTarget(target); });
       default:
         for (std::size_t i = 0; i < m_cluster.gateways(); ++i) {
           m_cluster.Signal(i, SIGKILL);
