--- a/tests/process/decoder_fuzz_test.cc
+++ b/tests/process/decoder_fuzz_test.cc
@@ -161,7 +161,12 @@
            {"d", LeaderNotServing{}},
            {"e", LeaderReplaced{4, Milliseconds(900)}},
            {"f", LeaderPermitRequest{7, "target", 3.5}},
-           {"g", LeaderPermitResponse{7, false, Milliseconds(90)}}}) {
+           {"g", LeaderPermitResponse{7, false, Milliseconds(90)}},
+           {"h", LeaderTableOutdated{5}},
+           {"i", LeaderTargetLost{6, Milliseconds(70)}},
+           {"j", LeaderRequestHarmless{6}},
+           {"k", LeaderRequestsBlocked{{6, 7}}},
+           {"l", LeaderTargetLeaving{"target", 1754000000123}}}) {
     samples.push_back(EncodeLeaderMessage(message));
   }
   Fuzz(samples, [](const std::string& input) {
