--- a/src/coordination/target_registry.cc
+++ b/src/coordination/target_registry.cc
@@ -48,15 +48,15 @@
   }
 }
 
-void TargetRegistry::OnRestoredList(MonotonicTime now, Changes entries) {
+void TargetRegistry::OnRestoredList(MonotonicTime now, const Changes& entries) {
   m_read_at = now;
   for (const auto& [id, target] : m_targets) {
     if (!entries.contains(id)) {
       m_missing_until.emplace(id, now + kReturnTimeout);
     }
   }
-  for (auto& [id, entry] : entries) {
-    Apply(now, id, std::move(entry));
+  for (const auto& [id, entry] : entries) {
+    Apply(now, id, entry);
   }
 }
 
--- a/src/coordination/target_registry.h
+++ b/src/coordination/target_registry.h
@@ -40,7 +40,7 @@
   // from an older copy, with all its entries. Entries of live targets may be
   // missing and are kept for kReturnTimeout; entries of targets that have left
   // may be back and are ignored.
-  void OnRestoredList(MonotonicTime now, Changes entries);
+  void OnRestoredList(MonotonicTime now, const Changes& entries);
 
   // Call when the target has stated that it is leaving; it counts as draining
   // from then on. Ignored if the process with this start time is not listed.
--- a/src/transport/gateway/gateway_control.h
+++ b/src/transport/gateway/gateway_control.h
@@ -642,7 +642,7 @@
       }
     }
     if (restored) {
-      m_registry.OnRestoredList(now, std::move(changes));
+      m_registry.OnRestoredList(now, changes);
     } else {
       m_registry.OnRead(now, std::move(changes), whole);
     }
--- a/tests/process/restored_store_test.cc
+++ b/tests/process/restored_store_test.cc
@@ -91,8 +91,10 @@
       const auto known = ends[target].find(key);
       if (kind == "grant" && known != ends[target].end() &&
           known->second < event.at("ms").as_int64()) {
-        lapsed.push_back(target + " lost key " + std::to_string(key) + " at " +
-                         std::to_string(known->second) + ", " + line);
+        std::string description = target;
+        description.append(" lost key ").append(std::to_string(key));
+        description.append(" at ").append(std::to_string(known->second));
+        lapsed.push_back(description.append(", ").append(line));
       }
       ends[target].erase(key);
       if (kind == "grant") {
--- a/tests/soak/soak_checks.cc
+++ b/tests/soak/soak_checks.cc
@@ -4,6 +4,7 @@
 #include <boost/json.hpp>
 #include <cstdint>
 #include <set>
+#include <tuple>
 #include <utility>
 
 namespace snipehall::test {
@@ -51,7 +52,11 @@
     std::int64_t last = 0;
     std::int64_t fencing_token = 0;
 
-    auto operator<=>(const Grant&) const = default;
+    bool operator<(const Grant& other) const {
+      return std::tie(target, first, last, fencing_token) <
+             std::tie(other.target, other.first, other.last,
+                      other.fencing_token);
+    }
   };
 
   std::set<Grant> m_grants;
@@ -139,10 +144,12 @@
                                     ? tokens.Add(target, lease)
                                     : std::string();
       if (!other.empty()) {
-        violations.push_back("token " + std::to_string(lease.fencing_token) +
-                             " of " + target + " for keys from " +
-                             std::to_string(lease.first) +
-                             " is not above that of " + other);
+        std::string line = "token ";
+        line.append(std::to_string(lease.fencing_token)).append(" of ");
+        line.append(target).append(" for keys from ");
+        line.append(std::to_string(lease.first));
+        line.append(" is not above that of ").append(other);
+        violations.push_back(std::move(line));
       }
     } else if (kind == "release") {
       leases_by_target.Remove(target, IntegerField(event, "first"),
--- a/tests/unit/gateway_poison_request_test.cc
+++ b/tests/unit/gateway_poison_request_test.cc
@@ -83,6 +83,7 @@
   });
   GatewayFixture gateway({target.address()}, {.max_attempts = 1});
   std::vector<std::thread> callers;
+  callers.reserve(12);
   for (int i = 0; i < 12; ++i) {
     // All requests are the same but for their IDs.
     callers.emplace_back([&gateway, i] {
--- a/tests/unit/support/key_owner_simulation.h
+++ b/tests/unit/support/key_owner_simulation.h
@@ -200,7 +200,7 @@
   void After(Milliseconds time, std::function<void()> run) {
     At(m_now + time, std::move(run));
   }
-  void Repeat(Milliseconds interval, std::function<void()> run) {
+  void Repeat(Milliseconds interval, const std::function<void()>& run) {
     After(interval, [this, interval, run] {
       run();
       Repeat(interval, run);
@@ -409,7 +409,7 @@
     const bool take_over = ShouldTakeOver(i);
     if (!instance.appending) {
       if (auto next = instance.leader->NextTable(m_now, take_over)) {
-        Append(i, *std::move(next));
+        Append(i, *next);
       }
     }
     for (const KeyOrder& order : instance.leader->TakeDueOrders(m_now)) {
@@ -417,7 +417,7 @@
     }
   }
 
-  void Append(std::size_t i, KeyTable table) {
+  void Append(std::size_t i, const KeyTable& table) {
     m_instances[i].appending = true;
     const TopicPosition at = m_instances[i].cursor.position();
     const bool disturbed = m_now < m_appends_disturbed_until;
