Report lost targets again to a new leader

Change: instances report their losses of the last ten seconds again, at intervals of two. A loss has the time when the request was sent and when the target was lost; it counts if it overlaps with none that is known, so order and repeats of reports do not matter. Blocked requests are the last to be forgotten.

Measured: unit tests of order and repeats; the tests of poison requests pass.

--- a/src/coordination/key_topic_cursor.h
+++ b/src/coordination/key_topic_cursor.h
@@ -22,8 +22,8 @@
   };
 
   // Maximum time between the last read in an era and the first one in the next,
-  // up to which the topic counts as followed. Longer than an outage of the log
-  // with which no grants expire.
+  // up to which the topic counts as followed. Within it, keys hardly move
+  // without a release by their owner, which then rejects the older token.
   static constexpr Milliseconds kMaxFollowGap{7000};
 
   // Call for each page that was read. Pages must not be from an earlier era
--- a/src/coordination/leader_message.h
+++ b/src/coordination/leader_message.h
@@ -78,12 +78,18 @@
   std::uint64_t term = 0;
 };
 
-// Tells the leader that the connection to a target ended without a response to
-// a request; see PoisonRequestDetector.
-struct LeaderTargetLost {
-  RequestDigest digest = 0;
-  // Time since the request was sent to the target.
-  Milliseconds sent_ago{0};
+// Tells the leader of connections to targets that ended without a response to a
+// request; see PoisonRequestDetector.
+struct LeaderTargetsLost {
+  struct Loss {
+    RequestDigest digest = 0;
+    // Times since the request was sent to the target and since the connection
+    // ended.
+    Milliseconds sent_ago{0};
+    Milliseconds lost_ago{0};
+  };
+
+  std::vector<Loss> losses;
 };
 
 // Tells the leader that a target has responded to a request that was suspected
@@ -114,7 +120,7 @@
                LeaderNotServing,
                LeaderReplaced,
                LeaderTableOutdated,
-               LeaderTargetLost,
+               LeaderTargetsLost,
                LeaderRequestHarmless,
                LeaderRequestsBlocked,
                LeaderTargetLeaving,
--- a/src/coordination/poison_request_detector.cc
+++ b/src/coordination/poison_request_detector.cc
@@ -1,10 +1,12 @@
 #include "coordination/poison_request_detector.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace snipehall {
 
 void PoisonRequestDetector::Block(MonotonicTime now, Suspect& suspect) {
+  suspect.was_blocked = true;
   suspect.blocked_until = now + suspect.block_time;
   // Kept beyond that time, so that one more loss blocks the request again.
   suspect.expires_at = suspect.blocked_until + kMaxBlockTime;
@@ -28,7 +30,9 @@
     for (auto it = m_suspects.begin(); it != m_suspects.end(); ++it) {
       if (it->first != digest &&
           (oldest == m_suspects.end() ||
-           it->second.last_loss_at < oldest->second.last_loss_at)) {
+           std::tie(it->second.was_blocked, it->second.last_loss_at) <
+               std::tie(oldest->second.was_blocked,
+                        oldest->second.last_loss_at))) {
         oldest = it;
       }
     }
@@ -37,29 +41,46 @@
   return m_suspects.at(digest);
 }
 
-bool PoisonRequestDetector::OnTargetLost(MonotonicTime now,
-                                         RequestDigest digest,
-                                         MonotonicTime sent_at) {
-  Suspect& suspect = FindOrAdd(now, digest);
+bool PoisonRequestDetector::OnTargetLost(MonotonicTime now, const Loss& loss) {
+  Suspect& suspect = FindOrAdd(now, loss.digest);
   if (now >= suspect.expires_at) {
     suspect = Suspect();
   }
-  // Requests that were sent before the loss of another target may have been
-  // lost with it.
-  if (suspect.crashes > 0 && sent_at < suspect.last_loss_at) {
+  // Targets that were at work at the same time may have been lost together.
+  const bool overlaps = std::any_of(
+      suspect.losses.begin(), suspect.losses.end(), [&loss](const Loss& known) {
+        return loss.sent_at < known.lost_at && known.sent_at < loss.lost_at;
+      });
+  if (overlaps || now < suspect.blocked_until) {
     return false;
   }
-  ++suspect.crashes;
-  suspect.last_loss_at = now;
-  if (suspect.crashes < kMaxCrashes) {
+  if (suspect.losses.size() < kMaxCrashes) {
+    suspect.losses.push_back(loss);
+  }
+  suspect.last_loss_at = std::max(suspect.last_loss_at, loss.lost_at);
+  if (!suspect.was_blocked && suspect.losses.size() < kMaxCrashes) {
     suspect.expires_at = now + kSuspicionLifetime;
     return false;
   }
-  const bool was_blocked = now < suspect.blocked_until;
-  if (!was_blocked) {
-    Block(now, suspect);
+  Block(now, suspect);
+  return true;
+}
+
+std::vector<PoisonRequestDetector::Loss> PoisonRequestDetector::RecentLosses(
+    MonotonicTime now,
+    MonotonicTime since) const {
+  std::vector<Loss> recent;
+  for (const auto& [digest, suspect] : m_suspects) {
+    if (now < suspect.blocked_until) {
+      continue;
+    }
+    for (const Loss& loss : suspect.losses) {
+      if (loss.lost_at >= since && recent.size() < kMaxReported) {
+        recent.push_back(loss);
+      }
+    }
   }
-  return !was_blocked;
+  return recent;
 }
 
 bool PoisonRequestDetector::OnResponse(RequestDigest digest) {
@@ -68,7 +89,6 @@
 
 void PoisonRequestDetector::OnBlocked(MonotonicTime now, RequestDigest digest) {
   Suspect& suspect = FindOrAdd(now, digest);
-  suspect.crashes = std::max(suspect.crashes, kMaxCrashes);
   suspect.last_loss_at = std::max(suspect.last_loss_at, now);
   if (now >= suspect.blocked_until) {
     Block(now, suspect);
--- a/src/coordination/poison_request_detector.h
+++ b/src/coordination/poison_request_detector.h
@@ -13,8 +13,8 @@
 //
 // A lost response alone proves nothing: the target may have crashed for another
 // reason, with many requests at work. But a request after whose delivery three
-// targets were lost, each delivery sent after the loss before, is blocked. A
-// response shows that the request is harmless.
+// targets were lost, no two of them at work on it at the same time, is blocked.
+// A response shows that the request is harmless.
 //
 // After a time that doubles with each further crash, a blocked request may be
 // sent once more. Used by each instance for its own observations, and by the
@@ -22,24 +22,30 @@
 class PoisonRequestDetector {
  public:
   // Number of lost targets from which on a request is blocked.
-  static constexpr int kMaxCrashes = 3;
+  static constexpr std::size_t kMaxCrashes = 3;
   // Time without a loss after which a request that is not blocked is forgotten.
   static constexpr Milliseconds kSuspicionLifetime{120000};
   // How long a request is blocked at first, and at most.
   static constexpr Milliseconds kInitialBlockTime{300000};
   static constexpr Milliseconds kMaxBlockTime{3600000};
   // Maximum number of requests that are remembered; beyond it, the one whose
-  // last loss is the longest ago is forgotten.
+  // last loss is the longest ago is forgotten, those that were blocked last.
   static constexpr std::size_t kMaxRequests = 1000;
-  // Maximum number of digests that BlockedRequests() returns.
+  // Maximum number of digests that BlockedRequests() returns, and of losses
+  // that RecentLosses() returns.
   static constexpr std::size_t kMaxReported = 64;
 
-  // Call when the connection to a target ended without a response to the
-  // request, which was sent to it at `sent_at`. Returns whether that blocks the
-  // request.
-  bool OnTargetLost(MonotonicTime now,
-                    RequestDigest digest,
-                    MonotonicTime sent_at);
+  // The connection to a target ended without a response to a request.
+  struct Loss {
+    RequestDigest digest = 0;
+    // When the request was sent to the target, and when the connection ended.
+    MonotonicTime sent_at;
+    MonotonicTime lost_at;
+  };
+
+  // Call for each loss, in any order; reporting one again changes nothing.
+  // Returns whether that blocks the request.
+  bool OnTargetLost(MonotonicTime now, const Loss& loss);
   // Call when a target has responded to the request. Returns whether it was
   // suspected.
   bool OnResponse(RequestDigest digest);
@@ -55,10 +61,15 @@
 
   // The requests that are blocked now, those with the latest losses first.
   std::vector<RequestDigest> BlockedRequests(MonotonicTime now) const;
+  // Losses since `since` of requests that are not blocked.
+  std::vector<Loss> RecentLosses(MonotonicTime now, MonotonicTime since) const;
 
  private:
   struct Suspect {
-    int crashes = 0;
+    // Losses that count, at most kMaxCrashes.
+    std::vector<Loss> losses;
+    // A loss blocks the request again after it was blocked once.
+    bool was_blocked = false;
     MonotonicTime last_loss_at;
     MonotonicTime blocked_until;
     Milliseconds block_time = kInitialBlockTime;
--- a/src/protocol/lead_message.capnp
+++ b/src/protocol/lead_message.capnp
@@ -30,8 +30,8 @@
     # To the leader: the term of its key table, which lacks assignments that the
     # sender knows.
     outdated @8 :UInt64;
-    # To the leader: the connection to a target ended without a response.
-    targetLost @9 :TargetLost;
+    # To the leader: connections to targets that ended without a response.
+    targetsLost @9 :List(TargetLost);
     # To the leader: digest of a request that a target has responded to after all.
     harmless @10 :UInt64;
     # From the leader: digests of the requests that crash their targets.
@@ -82,6 +82,8 @@
   digest @0 :UInt64;
   # Time since the request was sent to the target, in milliseconds.
   sentAgoMs @1 :UInt32;
+  # Time since the connection ended, in milliseconds.
+  lostAgoMs @2 :UInt32;
 }
 
 struct TargetLeaving {
--- a/src/protocol/lead_message.capnp.h
+++ b/src/protocol/lead_message.capnp.h
@@ -48,7 +48,7 @@
     PERMIT_REQUEST,
     PERMIT_RESPONSE,
     OUTDATED,
-    TARGET_LOST,
+    TARGETS_LOST,
     HARMLESS,
     BLOCKED,
     LEAVING,
@@ -251,9 +251,9 @@
   inline bool isOutdated() const;
   inline  ::uint64_t getOutdated() const;
 
-  inline bool isTargetLost() const;
-  inline bool hasTargetLost() const;
-  inline  ::snipehall::wire::TargetLost::Reader getTargetLost() const;
+  inline bool isTargetsLost() const;
+  inline bool hasTargetsLost() const;
+  inline  ::capnp::List< ::snipehall::wire::TargetLost,  ::capnp::Kind::STRUCT>::Reader getTargetsLost() const;
 
   inline bool isHarmless() const;
   inline  ::uint64_t getHarmless() const;
@@ -359,13 +359,13 @@
   inline  ::uint64_t getOutdated();
   inline void setOutdated( ::uint64_t value);
 
-  inline bool isTargetLost();
-  inline bool hasTargetLost();
-  inline  ::snipehall::wire::TargetLost::Builder getTargetLost();
-  inline void setTargetLost( ::snipehall::wire::TargetLost::Reader value);
-  inline  ::snipehall::wire::TargetLost::Builder initTargetLost();
-  inline void adoptTargetLost(::capnp::Orphan< ::snipehall::wire::TargetLost>&& value);
-  inline ::capnp::Orphan< ::snipehall::wire::TargetLost> disownTargetLost();
+  inline bool isTargetsLost();
+  inline bool hasTargetsLost();
+  inline  ::capnp::List< ::snipehall::wire::TargetLost,  ::capnp::Kind::STRUCT>::Builder getTargetsLost();
+  inline void setTargetsLost( ::capnp::List< ::snipehall::wire::TargetLost,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::snipehall::wire::TargetLost,  ::capnp::Kind::STRUCT>::Builder initTargetsLost(unsigned int size);
+  inline void adoptTargetsLost(::capnp::Orphan< ::capnp::List< ::snipehall::wire::TargetLost,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::snipehall::wire::TargetLost,  ::capnp::Kind::STRUCT>> disownTargetsLost();
 
   inline bool isHarmless();
   inline  ::uint64_t getHarmless();
@@ -810,6 +810,8 @@
 
   inline  ::uint32_t getSentAgoMs() const;
 
+  inline  ::uint32_t getLostAgoMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -844,6 +846,9 @@
   inline  ::uint32_t getSentAgoMs();
   inline void setSentAgoMs( ::uint32_t value);
 
+  inline  ::uint32_t getLostAgoMs();
+  inline void setLostAgoMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1662,57 +1667,57 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool LeadMessage::Reader::isTargetLost() const {
-  return which() == LeadMessage::TARGET_LOST;
+inline bool LeadMessage::Reader::isTargetsLost() const {
+  return which() == LeadMessage::TARGETS_LOST;
 }
-inline bool LeadMessage::Builder::isTargetLost() {
-  return which() == LeadMessage::TARGET_LOST;
+inline bool LeadMessage::Builder::isTargetsLost() {
+  return which() == LeadMessage::TARGETS_LOST;
 }
-inline bool LeadMessage::Reader::hasTargetLost() const {
-  if (which() != LeadMessage::TARGET_LOST) return false;
+inline bool LeadMessage::Reader::hasTargetsLost() const {
+  if (which() != LeadMessage::TARGETS_LOST) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool LeadMessage::Builder::hasTargetLost() {
-  if (which() != LeadMessage::TARGET_LOST) return false;
+inline bool LeadMessage::Builder::hasTargetsLost() {
+  if (which() != LeadMessage::TARGETS_LOST) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::snipehall::wire::TargetLost::Reader LeadMessage::Reader::getTargetLost() const {
-  KJ_IREQUIRE((which() == LeadMessage::TARGET_LOST),
+inline  ::capnp::List< ::snipehall::wire::TargetLost,  ::capnp::Kind::STRUCT>::Reader LeadMessage::Reader::getTargetsLost() const {
+  KJ_IREQUIRE((which() == LeadMessage::TARGETS_LOST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::snipehall::wire::TargetLost>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::TargetLost,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::snipehall::wire::TargetLost::Builder LeadMessage::Builder::getTargetLost() {
-  KJ_IREQUIRE((which() == LeadMessage::TARGET_LOST),
+inline  ::capnp::List< ::snipehall::wire::TargetLost,  ::capnp::Kind::STRUCT>::Builder LeadMessage::Builder::getTargetsLost() {
+  KJ_IREQUIRE((which() == LeadMessage::TARGETS_LOST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::snipehall::wire::TargetLost>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::TargetLost,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void LeadMessage::Builder::setTargetLost( ::snipehall::wire::TargetLost::Reader value) {
+inline void LeadMessage::Builder::setTargetsLost( ::capnp::List< ::snipehall::wire::TargetLost,  ::capnp::Kind::STRUCT>::Reader value) {
   _builder.setDataField<LeadMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LeadMessage::TARGET_LOST);
-  ::capnp::_::PointerHelpers< ::snipehall::wire::TargetLost>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LeadMessage::TARGETS_LOST);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::TargetLost,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::snipehall::wire::TargetLost::Builder LeadMessage::Builder::initTargetLost() {
+inline  ::capnp::List< ::snipehall::wire::TargetLost,  ::capnp::Kind::STRUCT>::Builder LeadMessage::Builder::initTargetsLost(unsigned int size) {
   _builder.setDataField<LeadMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LeadMessage::TARGET_LOST);
-  return ::capnp::_::PointerHelpers< ::snipehall::wire::TargetLost>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LeadMessage::TARGETS_LOST);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::TargetLost,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void LeadMessage::Builder::adoptTargetLost(
-    ::capnp::Orphan< ::snipehall::wire::TargetLost>&& value) {
+inline void LeadMessage::Builder::adoptTargetsLost(
+    ::capnp::Orphan< ::capnp::List< ::snipehall::wire::TargetLost,  ::capnp::Kind::STRUCT>>&& value) {
   _builder.setDataField<LeadMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LeadMessage::TARGET_LOST);
-  ::capnp::_::PointerHelpers< ::snipehall::wire::TargetLost>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LeadMessage::TARGETS_LOST);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::TargetLost,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::snipehall::wire::TargetLost> LeadMessage::Builder::disownTargetLost() {
-  KJ_IREQUIRE((which() == LeadMessage::TARGET_LOST),
+inline ::capnp::Orphan< ::capnp::List< ::snipehall::wire::TargetLost,  ::capnp::Kind::STRUCT>> LeadMessage::Builder::disownTargetsLost() {
+  KJ_IREQUIRE((which() == LeadMessage::TARGETS_LOST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::snipehall::wire::TargetLost>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::TargetLost,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
@@ -2171,6 +2176,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t TargetLost::Reader::getLostAgoMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TargetLost::Builder::getLostAgoMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void TargetLost::Builder::setLostAgoMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool TargetLeaving::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/protocol/leader_message_codec.cc
+++ b/src/protocol/leader_message_codec.cc
@@ -97,10 +97,15 @@
   void operator()(const LeaderTableOutdated& outdated) {
     root.setOutdated(outdated.term);
   }
-  void operator()(const LeaderTargetLost& lost) {
-    auto builder = root.initTargetLost();
-    builder.setDigest(lost.digest);
-    builder.setSentAgoMs(static_cast<std::uint32_t>(lost.sent_ago.count()));
+  void operator()(const LeaderTargetsLost& lost) {
+    auto losses =
+        root.initTargetsLost(static_cast<unsigned>(lost.losses.size()));
+    for (unsigned i = 0; i < losses.size(); ++i) {
+      const LeaderTargetsLost::Loss& loss = lost.losses[i];
+      losses[i].setDigest(loss.digest);
+      losses[i].setSentAgoMs(static_cast<std::uint32_t>(loss.sent_ago.count()));
+      losses[i].setLostAgoMs(static_cast<std::uint32_t>(loss.lost_ago.count()));
+    }
   }
   void operator()(const LeaderRequestHarmless& harmless) {
     root.setHarmless(harmless.digest);
@@ -173,10 +178,14 @@
     case wire::LeadMessage::OUTDATED:
       message.content = LeaderTableOutdated{reader.getOutdated()};
       return message;
-    case wire::LeadMessage::TARGET_LOST: {
-      const auto lost = reader.getTargetLost();
-      message.content =
-          LeaderTargetLost{lost.getDigest(), Milliseconds(lost.getSentAgoMs())};
+    case wire::LeadMessage::TARGETS_LOST: {
+      LeaderTargetsLost lost;
+      for (const auto loss : reader.getTargetsLost()) {
+        lost.losses.push_back({loss.getDigest(),
+                               Milliseconds(loss.getSentAgoMs()),
+                               Milliseconds(loss.getLostAgoMs())});
+      }
+      message.content = std::move(lost);
       return message;
     }
     case wire::LeadMessage::HARMLESS:
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -87,9 +87,8 @@
                                       PermitRequests::OnResponse on_response) {
       m_control.RequestPermit(target, limit, std::move(on_response));
     };
-    m_context.on_target_lost = [this](RequestDigest digest,
-                                      MonotonicTime sent_at) {
-      m_control.ReportTargetLost(digest, sent_at);
+    m_context.on_target_lost = [this](const PoisonRequestDetector::Loss& loss) {
+      m_control.ReportTargetLost(loss);
     };
     m_context.on_harmless_request = [this](RequestDigest digest) {
       m_control.ReportHarmless(digest);
--- a/src/transport/gateway/gateway_context.h
+++ b/src/transport/gateway/gateway_context.h
@@ -89,9 +89,8 @@
   std::function<void(std::string_view target, std::optional<double> limit)>
       on_rate_limit;
   // Called when the connection to a target ended without a response to the
-  // request, which was sent at `sent_at`.
-  std::function<void(RequestDigest digest, MonotonicTime sent_at)>
-      on_target_lost;
+  // request.
+  std::function<void(const PoisonRequestDetector::Loss&)> on_target_lost;
   // Called when a target has responded to a request that was suspected to crash
   // targets.
   std::function<void(RequestDigest digest)> on_harmless_request;
--- a/src/transport/gateway/gateway_control.h
+++ b/src/transport/gateway/gateway_control.h
@@ -197,7 +197,7 @@
                   {m_instance, LeaderReport{m_zone, relay_address,
                                             std::move(report), m_link_mbps}});
     }
-    ReportBlockedRequests(now);
+    ReportPoisonRequests(now);
     m_leader_failure_detector.OnReportSent();
     if (m_leader_failure_detector.ShouldTakeOver()) {
       WakeLeader();
@@ -229,16 +229,11 @@
   // Call when the connection to a target ended without a response to a request;
   // see PoisonRequestDetector. Tells the leader or, on the leader, the other
   // instances if the request is blocked.
-  void ReportTargetLost(RequestDigest digest, MonotonicTime sent_at) {
-    const MonotonicTime now = Now();
+  void ReportTargetLost(const PoisonRequestDetector::Loss& loss) {
     if (!m_key_leader.IsNamedLeader()) {
-      m_link.Send(
-          m_state.keys().leader_address,
-          {m_instance,
-           LeaderTargetLost{digest, std::chrono::duration_cast<Milliseconds>(
-                                        now - sent_at)}});
-    } else if (m_poison_requests.IsBlocked(now, digest)) {
-      AnnounceBlockedRequests(digest);
+      SendLosses({loss});
+    } else if (m_poison_requests.IsBlocked(Now(), loss.digest)) {
+      AnnounceBlockedRequests(loss.digest);
     }
   }
 
@@ -325,8 +320,10 @@
   // Minimum interval between announcements of completed moves to the instances
   // that report to the leader.
   static constexpr Milliseconds kAnnounceInterval{50};
-  // Interval between reports of the blocked requests to the leader.
+  // Interval between reports of the blocked requests, and of losses of the last
+  // kLossReportTime, to the leader. A leader is replaced in less than that.
   static constexpr Milliseconds kBlockedReportInterval{2000};
+  static constexpr Milliseconds kLossReportTime{10000};
   // Instances that have not reported for this long, three report intervals, get
   // no more announcements of completed moves.
   static constexpr Milliseconds kReporterTimeout{1200};
@@ -422,11 +419,15 @@
     } else if (std::holds_alternative<LeaderNotServing>(message.content)) {
       m_leader_failure_detector.OnNotServing(message.from);
     } else if (const auto* lost =
-                   std::get_if<LeaderTargetLost>(&message.content)) {
-      if (m_key_leader.IsNamedLeader() &&
-          m_poison_requests.OnTargetLost(now, lost->digest,
-                                         now - lost->sent_ago)) {
-        AnnounceBlockedRequests(lost->digest);
+                   std::get_if<LeaderTargetsLost>(&message.content)) {
+      if (m_key_leader.IsNamedLeader()) {
+        for (const LeaderTargetsLost::Loss& loss : lost->losses) {
+          if (m_poison_requests.OnTargetLost(
+                  now,
+                  {loss.digest, now - loss.sent_ago, now - loss.lost_ago})) {
+            AnnounceBlockedRequests(loss.digest);
+          }
+        }
       }
     } else if (const auto* harmless =
                    std::get_if<LeaderRequestHarmless>(&message.content)) {
@@ -457,9 +458,24 @@
     }
   }
 
-  // Tells the leader of the blocked requests at intervals: its process may have
-  // restarted.
-  void ReportBlockedRequests(MonotonicTime now) {
+  // Sends losses to the leader.
+  void SendLosses(const std::vector<PoisonRequestDetector::Loss>& losses) {
+    const MonotonicTime now = Now();
+    LeaderTargetsLost message;
+    message.losses.reserve(losses.size());
+    for (const PoisonRequestDetector::Loss& loss : losses) {
+      message.losses.push_back(
+          {loss.digest,
+           std::chrono::duration_cast<Milliseconds>(now - loss.sent_at),
+           std::chrono::duration_cast<Milliseconds>(now - loss.lost_at)});
+    }
+    m_link.Send(m_state.keys().leader_address,
+                {m_instance, std::move(message)});
+  }
+
+  // Tells the leader of blocked requests and of recent losses at intervals:
+  // another instance may have become the leader, or its process has restarted.
+  void ReportPoisonRequests(MonotonicTime now) {
     if (now < m_report_blocked_at) {
       return;
     }
@@ -469,6 +485,11 @@
       m_link.Send(m_state.keys().leader_address,
                   {m_instance, LeaderRequestsBlocked{std::move(blocked)}});
     }
+    const std::vector<PoisonRequestDetector::Loss> losses =
+        m_poison_requests.RecentLosses(now, now - kLossReportTime);
+    if (!losses.empty()) {
+      SendLosses(losses);
+    }
   }
 
   void LogBlockedRequest(RequestDigest digest) {
--- a/src/transport/gateway/gateway_router.cc
+++ b/src/transport/gateway/gateway_router.cc
@@ -113,10 +113,11 @@
 }
 
 void GatewayRouter::RecordTargetLost(MonotonicTime sent_at) {
-  const RequestDigest request_digest = digest();
-  m_context.poison_requests.OnTargetLost(Now(), request_digest, sent_at);
+  const MonotonicTime now = Now();
+  const PoisonRequestDetector::Loss loss{digest(), sent_at, now};
+  m_context.poison_requests.OnTargetLost(now, loss);
   if (m_context.on_target_lost) {
-    m_context.on_target_lost(request_digest, sent_at);
+    m_context.on_target_lost(loss);
   }
 }
 
--- a/tests/process/decoder_fuzz_test.cc
+++ b/tests/process/decoder_fuzz_test.cc
@@ -163,7 +163,7 @@
            {"f", LeaderPermitRequest{7, "target", 3.5}},
            {"g", LeaderPermitResponse{7, false, Milliseconds(90)}},
            {"h", LeaderTableOutdated{5}},
-           {"i", LeaderTargetLost{6, Milliseconds(70)}},
+           {"i", LeaderTargetsLost{{{6, Milliseconds(70), Milliseconds(60)}}}},
            {"j", LeaderRequestHarmless{6}},
            {"k", LeaderRequestsBlocked{{6, 7}}},
            {"l", LeaderTargetLeaving{"target", 1754000000123}}}) {
--- a/tests/unit/key_codec_test.cc
+++ b/tests/unit/key_codec_test.cc
@@ -105,12 +105,17 @@
 
 Test(leader_message_codec, poison_request_round_trip) {
   const std::string lost = EncodeLeaderMessage(
-      {"entry-1", LeaderTargetLost{UINT64_MAX, Milliseconds(70)}});
+      {"entry-1",
+       LeaderTargetsLost{{{1, Milliseconds(9), Milliseconds(8)},
+                          {UINT64_MAX, Milliseconds(70), Milliseconds(60)}}}});
   auto decoded = DecodeLeaderMessage({lost.data(), lost.size()});
   cr_assert(decoded.has_value());
-  const auto& target_lost = std::get<LeaderTargetLost>(decoded.value().content);
-  cr_assert_eq(target_lost.digest, UINT64_MAX);
-  cr_assert(target_lost.sent_ago == Milliseconds(70));
+  const auto& targets_lost =
+      std::get<LeaderTargetsLost>(decoded.value().content);
+  cr_assert_eq(targets_lost.losses.size(), 2);
+  cr_assert_eq(targets_lost.losses[1].digest, UINT64_MAX);
+  cr_assert(targets_lost.losses[1].sent_ago == Milliseconds(70));
+  cr_assert(targets_lost.losses[1].lost_ago == Milliseconds(60));
   const std::string harmless =
       EncodeLeaderMessage({"entry-1", LeaderRequestHarmless{5}});
   decoded = DecodeLeaderMessage({harmless.data(), harmless.size()});
--- a/tests/unit/poison_request_detector_test.cc
+++ b/tests/unit/poison_request_detector_test.cc
@@ -1,5 +1,7 @@
 #include "coordination/poison_request_detector.h"
 
+#include <algorithm>
+
 #include <criterion/criterion.h>
 
 namespace snipehall {
@@ -15,7 +17,7 @@
 MonotonicTime LoseTargets(Detector& detector, MonotonicTime now, int count) {
   for (int i = 0; i < count; ++i) {
     now += Milliseconds(1000);
-    detector.OnTargetLost(now, kRequest, now - Milliseconds(100));
+    detector.OnTargetLost(now, {kRequest, now - Milliseconds(100), now});
   }
   return now;
 }
@@ -24,7 +26,8 @@
   Detector detector;
   const MonotonicTime now = LoseTargets(detector, kStart, 2);
   cr_assert_not(detector.IsBlocked(now, kRequest));
-  cr_assert(detector.OnTargetLost(now + Milliseconds(100), kRequest, now));
+  cr_assert(detector.OnTargetLost(now + Milliseconds(100),
+                                  {kRequest, now, now + Milliseconds(100)}));
   cr_assert(detector.IsBlocked(now + Milliseconds(100), kRequest));
   cr_assert_not(detector.IsBlocked(now + Milliseconds(100), kRequest + 1));
   cr_assert(detector.BlockedRequests(now) ==
@@ -36,12 +39,36 @@
 Test(poison_request_detector, losses_of_requests_sent_before_count_once) {
   Detector detector;
   for (int i = 0; i < 12; ++i) {
-    cr_assert_not(detector.OnTargetLost(kStart + Milliseconds(i), kRequest,
-                                        kStart - Milliseconds(50)));
+    cr_assert_not(detector.OnTargetLost(
+        kStart,
+        {kRequest, kStart - Milliseconds(50), kStart + Milliseconds(i)}));
   }
   cr_assert_not(detector.IsBlocked(kStart, kRequest));
 }
 
+// Guards against losses that a new leader does not count since they are
+// reported in another order, and against losses that count twice.
+Test(poison_request_detector, losses_count_once_in_any_order) {
+  Detector instance;
+  const MonotonicTime now = LoseTargets(instance, kStart, 2);
+  std::vector<Detector::Loss> losses = instance.RecentLosses(now, kStart);
+  cr_assert_eq(losses.size(), 2);
+  cr_assert_eq(instance.RecentLosses(now, now).size(), 1);
+  std::reverse(losses.begin(), losses.end());
+  Detector leader;
+  for (int i = 0; i < 5; ++i) {
+    for (Detector::Loss loss : losses) {
+      // The ages in the reports are rounded.
+      loss.sent_at += Milliseconds(i % 2);
+      loss.lost_at += Milliseconds(i % 2);
+      cr_assert_not(leader.OnTargetLost(now, loss));
+    }
+  }
+  cr_assert(leader.OnTargetLost(
+      now, {kRequest, now + Milliseconds(200), now + Milliseconds(300)}));
+  cr_assert(leader.RecentLosses(now, kStart).empty());
+}
+
 Test(poison_request_detector, response_ends_the_suspicion) {
   Detector detector;
   MonotonicTime now = LoseTargets(detector, kStart, 2);
@@ -61,7 +88,8 @@
     cr_assert(detector.IsBlocked(now + block_time - Milliseconds(1), kRequest));
     now += block_time;
     cr_assert_not(detector.IsBlocked(now, kRequest));
-    cr_assert(detector.OnTargetLost(now, kRequest, now));
+    cr_assert(
+        detector.OnTargetLost(now, {kRequest, now - Milliseconds(1), now}));
     block_time = std::min(block_time * 2, Detector::kMaxBlockTime);
   }
 }
@@ -70,9 +98,10 @@
   Detector detector;
   MonotonicTime now = LoseTargets(detector, kStart, 2);
   now += Detector::kSuspicionLifetime;
-  detector.OnTargetLost(now, kRequest + 1, now);
+  detector.OnTargetLost(now, {kRequest + 1, now, now});
   cr_assert_eq(detector.size(), 1);
-  cr_assert_not(detector.OnTargetLost(now, kRequest, now));
+  cr_assert_not(
+      detector.OnTargetLost(now, {kRequest, now - Milliseconds(1), now}));
 }
 
 // Load: more distinct requests than are remembered are lost.
@@ -81,10 +110,10 @@
   MonotonicTime now = LoseTargets(detector, kStart, 2);
   for (RequestDigest digest = 1000; digest < 11000; ++digest) {
     now += Milliseconds(1);
-    detector.OnTargetLost(now, digest, now);
+    detector.OnTargetLost(now, {digest, now, now});
     // The request in question is lost now and then, so it is not forgotten.
     if (digest % 500 == 0) {
-      detector.OnTargetLost(now, kRequest, now);
+      detector.OnTargetLost(now, {kRequest, now - Milliseconds(1), now});
     }
   }
   cr_assert_leq(detector.size(), Detector::kMaxRequests);
