Log how each version of the configuration was read

No log line told which page a late instance waited for, from whom, how many versions and bytes were in it and how long reading and parsing took.

The event `configuration` has these figures now, and the new event `log_read_failed` has the position, the source, the time and, in its error text, the bytes that came. No decision changes.

--- a/src/state/record_page.h
+++ b/src/state/record_page.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -39,6 +40,8 @@
   // Offset of the next record of the topic, after those of this page.
   std::uint64_t end_offset = 0;
   std::vector<KeyedRecord> records;
+  // Size of the response that the page was read from, bytes.
+  std::size_t size_bytes = 0;
 
   TopicPosition end() const { return {era, end_offset}; }
 };
--- a/src/transport/gateway/gateway_control.h
+++ b/src/transport/gateway/gateway_control.h
@@ -100,20 +100,23 @@
         m_append_log(platform.NewLog()),
         m_leader_timer(m_executor),
         m_relay_selection(std::make_shared<RelaySelection>()),
-        m_policy_feed(
+        m_policy_feed(m_executor,
+                      platform.policy_topic(),
+                      NewFeedLog({Milliseconds(0), kReadWait}),
+                      MakeFeedHandlers("configuration",
+                                       m_policy_feed,
+                                       &GatewayControl::OnPolicyPage)),
+        m_target_feed(m_executor,
+                      platform.target_topic(),
+                      NewFeedLog({kTargetReadInterval, Milliseconds(0)}),
+                      MakeFeedHandlers("targets",
+                                       m_target_feed,
+                                       &GatewayControl::OnTargetPage)),
+        m_key_feed(
             m_executor,
-            platform.policy_topic(),
+            platform.key_topic(),
             NewFeedLog({Milliseconds(0), kReadWait}),
-            MakeFeedHandlers("configuration", &GatewayControl::OnPolicyPage)),
-        m_target_feed(
-            m_executor,
-            platform.target_topic(),
-            NewFeedLog({kTargetReadInterval, Milliseconds(0)}),
-            MakeFeedHandlers("targets", &GatewayControl::OnTargetPage)),
-        m_key_feed(m_executor,
-                   platform.key_topic(),
-                   NewFeedLog({Milliseconds(0), kReadWait}),
-                   MakeFeedHandlers("keys", &GatewayControl::OnKeyPage)),
+            MakeFeedHandlers("keys", m_key_feed, &GatewayControl::OnKeyPage)),
         m_zone(settings.zone),
         m_link_mbps(settings.link_mbps),
         m_peer_address(settings.peer_address),
@@ -523,21 +526,24 @@
     return false;
   }
 
-  // The handlers of the feed of `topic`, a name for event logs. They pass its
-  // pages to `on_page`, with true for a snapshot of the whole topic.
+  // The handlers of `feed`, which reads `topic`, a name for event logs. They
+  // pass its pages to `on_page`, with true for a snapshot of the whole topic.
   typename Feed::Handlers MakeFeedHandlers(
       const char* topic,
+      const Feed& feed,
       void (GatewayControl::*on_page)(const RecordPage&, bool)) {
-    return {
-        [this, topic, on_page](const RecordPage& page, bool whole) {
-          RecordDependency(topic, std::nullopt);
-          RecordEra(topic, page);
-          RunGuarded(topic, [&] { (this->*on_page)(page, whole); });
-          if (whole || !page.records.empty()) {
-            m_relay_server.Notify();
-          }
-        },
-        [this, topic](const Error& error) { RecordDependency(topic, error); }};
+    return {[this, topic, on_page](const RecordPage& page, bool whole) {
+              RecordDependency(topic, std::nullopt);
+              RecordEra(topic, page);
+              RunGuarded(topic, [&] { (this->*on_page)(page, whole); });
+              if (whole || !page.records.empty()) {
+                m_relay_server.Notify();
+              }
+            },
+            [this, topic, &feed](const Error& error) {
+              LogFailedRead(topic, feed, error);
+              RecordDependency(topic, error);
+            }};
   }
 
   std::shared_ptr<RelayedLog<typename Platform::Log>> NewFeedLog(
@@ -584,6 +590,21 @@
     }
   }
 
+  // Milliseconds from `begin` to now, for event logs.
+  static std::string ElapsedMs(MonotonicTime begin) {
+    return std::to_string(
+        std::chrono::duration_cast<Milliseconds>(Now() - begin).count());
+  }
+
+  void LogFailedRead(const char* topic, const Feed& feed, const Error& error) {
+    m_log.Write("log_read_failed",
+                {{"topic", topic},
+                 {"from", std::to_string(feed.position().offset)},
+                 {"source", feed.source()},
+                 {"elapsed_ms", ElapsedMs(feed.read_began_at())},
+                 {"error", error.message}});
+  }
+
   // Logs when reads of a topic begin to fail, and when they succeed again.
   void RecordDependency(const std::string& topic, std::optional<Error> error) {
     bool& lost = m_lost_topics[topic];
@@ -619,6 +640,7 @@
       if (record.key != m_platform.policy_key() || record.value.empty()) {
         continue;
       }
+      const MonotonicTime parse_began_at = Now();
       const auto policy = m_platform.ParsePolicy(record.value);
       if (!policy) {
         m_log.Write("configuration_refused",
@@ -631,8 +653,15 @@
       if (m_state.policy() && version <= known) {
         continue;
       }
-      m_log.Write("configuration", {{"version", std::to_string(version)},
-                                    {"before", std::to_string(known)}});
+      m_log.Write("configuration",
+                  {{"version", std::to_string(version)},
+                   {"before", std::to_string(known)},
+                   {"bytes", std::to_string(record.value.size())},
+                   {"page_bytes", std::to_string(page.size_bytes)},
+                   {"page_records", std::to_string(page.records.size())},
+                   {"source", m_policy_feed.source()},
+                   {"read_ms", ElapsedMs(m_policy_feed.read_began_at())},
+                   {"parse_ms", ElapsedMs(parse_began_at)}});
       m_state.SetPolicy(policy.value());
       std::set<ServiceName, std::less<>> keyed;
       for (const auto& [name, service] : policy.value()->services()) {
--- a/src/transport/http_connection.cc
+++ b/src/transport/http_connection.cc
@@ -35,14 +35,20 @@
          error == asio::error::network_unreachable;
 }
 
-auto MakeError(const std::string& address, const beast::error_code& error) {
+auto MakeError(const std::string& address,
+               const beast::error_code& error,
+               std::size_t received = 0) {
   ErrorCode code = ErrorCode::kUnavailable;
   if (error == beast::error::timeout) {
     code = ErrorCode::kTimeout;
   } else if (IsConnectFailure(error)) {
     code = ErrorCode::kRefused;
   }
-  return Fail(code, address + ": " + error.message());
+  std::string message = address + ": " + error.message();
+  if (received > 0) {
+    message += " after " + std::to_string(received) + " bytes of the response";
+  }
+  return Fail(code, std::move(message));
 }
 
 // Returns whether the peer has closed an idle connection or has sent data
@@ -197,7 +203,7 @@
     if (m_stream == stream) {
       m_stream.reset();
     }
-    co_return MakeError(m_address, error);
+    co_return MakeError(m_address, error, received);
   }
   stream->expires_never();
   response.status = parser.get().result_int();
--- a/src/transport/relayed_log.h
+++ b/src/transport/relayed_log.h
@@ -79,6 +79,7 @@
         co_return page;
       }
     }
+    m_source.clear();
     Result<RecordPage> page = co_await m_log->ReadNewest(
         std::move(topic), std::chrono::steady_clock::now() + limit);
     if (page && page.value().era < min_era) {
@@ -115,6 +116,7 @@
           boost::asio::as_tuple(boost::asio::use_awaitable));
     }
     m_last_direct_read = std::chrono::steady_clock::now();
+    m_source.clear();
     const Milliseconds wait =
         m_schedule.interval.count() > 0 ? Milliseconds(0) : m_schedule.wait;
     Result<RecordPage> page = co_await m_log->Read(
@@ -125,6 +127,10 @@
     co_return page;
   }
 
+  // Where the last read was sent: the address of the relay, or empty for the
+  // log itself.
+  const std::string& source() const { return m_source; }
+
   // Cancels the exchange in progress with the relay or the log. A read that
   // waits for its interval is sent at once. Do not call Read() afterwards.
   void Close() {
@@ -155,6 +161,7 @@
           m_executor, m_relay_selection->address, kMaxResponseBytes);
     }
     const std::shared_ptr<HttpConnection> relay = m_relay;
+    m_source = relay->address();
     HttpClientRequest call;
     call.path = std::move(path);
     const Result<HttpClientResponse> response = co_await relay->Exchange(
@@ -168,6 +175,9 @@
                      "the relay instance rejected the read");
     }
     Result<RecordPage> page = DecodeRecordPage(response.value().body, now);
+    if (page) {
+      page.value().size_bytes = response.value().body.size();
+    }
     if (page && (now - page.value().received_at > kMaxRelayAge ||
                  page.value().era < min_era)) {
       co_return Fail(ErrorCode::kUnavailable,
@@ -182,6 +192,7 @@
   std::shared_ptr<RelaySelection> m_relay_selection;
   ReadSchedule m_schedule;
   std::shared_ptr<HttpConnection> m_relay;
+  std::string m_source;
   MonotonicTime m_last_direct_read;
   bool m_closed = false;
 };
--- a/src/transport/topic_follower.h
+++ b/src/transport/topic_follower.h
@@ -45,6 +45,7 @@
   boost::asio::awaitable<void> Run() {
     Milliseconds retry_delay = kInitialRetryDelay;
     while (!m_closed) {
+      m_read_began_at = std::chrono::steady_clock::now();
       const Result<RecordPage> page = co_await ReadPage();
       if (m_closed) {
         break;
@@ -76,6 +77,11 @@
   }
 
   const std::string& topic() const { return m_topic; }
+  // Where the read in progress, or the last one, began in the topic and in
+  // time, and where it was sent; see RelayedLog::source().
+  TopicPosition position() const { return m_position; }
+  MonotonicTime read_began_at() const { return m_read_began_at; }
+  const std::string& source() const { return m_log->source(); }
   // The records read so far, for instances that read through this one.
   const TopicCache& cache() const { return m_cache; }
 
@@ -115,6 +121,7 @@
   TopicCache m_cache;
   // Where the next read begins.
   TopicPosition m_position;
+  MonotonicTime m_read_began_at;
   bool m_started = false;
   bool m_closed = false;
 };
