Read responses of the log in pieces of up to 64 KB

Cause: Beast reads at most the capacity of its buffer at once, which stayed at 512 bytes, since each piece is consumed. A version of 257 KB took some 500 turns of the event loop, on the leader 5 s. The deadline of the read did not end it either: bytes were always there, so each piece was complete before the timer. Class: work that is fair in turns and not in bytes.

The test counts the turns that a response of 1 MB takes; it fails without the change.

--- a/src/transport/http_connection.cc
+++ b/src/transport/http_connection.cc
@@ -64,6 +64,11 @@
 // whole deadline of a long-polling call.
 constexpr Milliseconds kConnectTimeout{1000};
 
+// Maximum number of bytes that are read at once, and of those for which an idle
+// connection keeps memory.
+constexpr std::size_t kMaxReadBytes = std::size_t{64} << 10;
+constexpr std::size_t kMaxIdleBufferBytes = std::size_t{4} << 10;
+
 // TCP keep-alive detects a peer that vanished without closing the connection
 // within about three seconds, also during long polling.
 constexpr int kKeepAliveIdleSeconds = 1;
@@ -166,6 +171,18 @@
   co_return stream;
 }
 
+void HttpConnection::ReserveForBody(
+    const http::response_parser<http::string_body>& parser) {
+  // Beast reads no more at once than the buffer has capacity for, and consumes
+  // the buffer after each read, so that it would stay at its initial 512 bytes.
+  if (!parser.is_done()) {
+    const std::uint64_t length =
+        parser.content_length_remaining().value_or(kMaxReadBytes);
+    m_buffer.reserve(static_cast<std::size_t>(
+        std::min<std::uint64_t>(length, kMaxReadBytes)));
+  }
+}
+
 asio::awaitable<Result<HttpClientResponse>> HttpConnection::ExchangeOnce(
     const HttpClientRequest& call,
     MonotonicTime deadline) {
@@ -188,11 +205,14 @@
       co_await http::async_write(*stream, request, kAwait);
   beast::error_code error = write_error;
   std::size_t received = 0;
-  if (!error) {
+  while (!error && !parser.is_done()) {
     const auto [read_error, size] =
-        co_await http::async_read(*stream, m_buffer, parser, kAwait);
+        co_await http::async_read_some(*stream, m_buffer, parser, kAwait);
     error = read_error;
-    received = size;
+    if (received == 0) {
+      ReserveForBody(parser);
+    }
+    received += size;
   }
   if (m_bytes != nullptr) {
     m_bytes->sent += written;
@@ -206,6 +226,9 @@
     co_return MakeError(m_address, error, received);
   }
   stream->expires_never();
+  if (m_buffer.size() == 0 && m_buffer.capacity() > kMaxIdleBufferBytes) {
+    m_buffer.shrink_to_fit();
+  }
   response.status = parser.get().result_int();
   const bool keep_alive = parser.get().keep_alive();
   response.body = std::move(parser.get().body());
--- a/src/transport/http_connection.h
+++ b/src/transport/http_connection.h
@@ -6,6 +6,8 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/verb.hpp>
 #include <cstddef>
 #include <cstdint>
@@ -85,6 +87,9 @@
   using Stream = boost::beast::tcp_stream;
 
   void Disconnect();
+  // Enlarges the read buffer for the rest of the response.
+  void ReserveForBody(const boost::beast::http::response_parser<
+                      boost::beast::http::string_body>& parser);
   boost::asio::awaitable<Result<HttpClientResponse>> ExchangeOnce(
       const HttpClientRequest& call,
       MonotonicTime deadline);
--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -12,6 +12,7 @@
 #include <thread>
 
 #include "protocol/target_protocol.h"
+#include "transport/http_connection.h"
 #include "transport/http_log_client.h"
 #include "transport/http_target_client.h"
 #include "transport/spawn.h"
@@ -244,4 +245,37 @@
   }
 }
 
+boost::asio::awaitable<void> ReadRecords(
+    snipehall::HttpConnection& connection,
+    std::optional<Result<snipehall::HttpClientResponse>>& response) {
+  snipehall::HttpClientRequest call;
+  call.path = "/records";
+  response = co_await connection.Exchange(std::move(call), FromNow(5000ms));
+}
+
+// Guards against reading a response in pieces of 512 bytes, each of which waits
+// for its turn on a busy event loop.
+Test(http_client, large_response_takes_few_turns_of_the_event_loop) {
+  const std::string body(std::size_t{1} << 20, 'x');
+  FakeServer server([&body](tcp::socket& socket) {
+    ReadRequestLine(socket);
+    SendResponse(socket, "200 OK", body);
+    ReadRequestLine(socket);
+  });
+  boost::asio::io_context context;
+  snipehall::HttpConnection connection(context.get_executor(), server.address(),
+                                       body.size());
+  std::optional<Result<snipehall::HttpClientResponse>> response;
+  snipehall::Spawn(context.get_executor(), ReadRecords(connection, response));
+  int turns = 0;
+  while (!response && context.run_one_for(5s) > 0) {
+    ++turns;
+  }
+  cr_assert(response.has_value());
+  cr_assert(response->has_value());
+  cr_assert_eq(response->value().body.size(), body.size());
+  cr_assert_lt(turns, 1000);
+  connection.Close();
+}
+
 }  // namespace
