Read only the newest configuration after falling behind

Cause: a reader that was behind asked for all versions that it had missed, whole; what had arrived when its time was over was dropped and asked for again, and there was more of it by then. Relays kept all versions by number of records, whatever their size, on instances of 160 MB. Class: catching up costs more the further a reader is behind.

A response that has begun may take 5 s longer as long as its bytes keep coming, so that nothing is asked for twice. Its age counts from its beginning. Of the versions in a page only the newest valid one is parsed.

The stand-in of the store keeps MaxKb now, as the store does.

--- a/src/state/record_page.h
+++ b/src/state/record_page.h
@@ -32,14 +32,16 @@
   // When the read was sent. The page shows the topic as it was at some time
   // after that.
   MonotonicTime sent_at;
-  // When the log's response arrived, at this instance or at the one that relays
-  // it.
+  // When the log's response began to arrive, at this instance or at the one
+  // that relays it.
   MonotonicTime received_at;
   // Era of the log in which the topic was read.
   LogEra era = 0;
   // Offset of the next record of the topic, after those of this page.
   std::uint64_t end_offset = 0;
   std::vector<KeyedRecord> records;
+  // The topic has more records than were read, from `end_offset` on.
+  bool has_more = false;
   // Size of the response that the page was read from, bytes.
   std::size_t size_bytes = 0;
 
--- a/src/state/topic_cache.cc
+++ b/src/state/topic_cache.cc
@@ -1,43 +1,84 @@
 #include "state/topic_cache.h"
 
+#include <algorithm>
+#include <set>
+#include <string_view>
+#include <vector>
+
 namespace snipehall {
 
 void TopicCache::Reset(const RecordPage& snapshot) {
   m_read_at = snapshot.received_at;
-  m_cached_pages.clear();
-  m_record_count = 0;
-  m_first_offset = snapshot.end_offset;
+  const bool continues = m_has_snapshot && snapshot.era == m_end.era &&
+                         snapshot.end_offset >= m_end.offset;
   m_end = snapshot.end();
-  m_newest_by_key.clear();
-  UpdateNewest(snapshot);
   m_has_snapshot = true;
+  if (!continues) {
+    m_records.clear();
+    m_deleted_keys = 0;
+    m_first_offset = snapshot.end_offset;
+  }
+  std::set<std::string_view> keys;
+  for (const KeyedRecord& record : snapshot.records) {
+    keys.insert(record.key);
+    const auto known = m_records.find(record.key);
+    if (known == m_records.end() || known->second.value != record.value) {
+      Store(record, snapshot.end_offset);
+    }
+  }
+  std::vector<std::string> deleted_keys;
+  for (const auto& [key, record] : m_records) {
+    if (!record.value.empty() && !keys.contains(key)) {
+      deleted_keys.push_back(key);
+    }
+  }
+  for (std::string& key : deleted_keys) {
+    Store({std::move(key), std::string()}, snapshot.end_offset);
+  }
+  ForgetDeletedKeys();
 }
 
 void TopicCache::Add(const RecordPage& page) {
   m_read_at = page.received_at;
-  const std::uint64_t from = m_end.offset;
-  m_end = page.end();
-  if (page.end_offset == from) {
+  if (page.end_offset == m_end.offset) {
     return;
   }
-  UpdateNewest(page);
-  m_cached_pages.push_back({from, page.end_offset, page.records});
-  m_record_count += page.records.size();
-  while (m_record_count > kMaxRecords && m_cached_pages.size() > 1) {
-    m_record_count -= m_cached_pages.front().records.size();
-    m_cached_pages.pop_front();
-    m_first_offset = m_cached_pages.front().from;
+  m_end = page.end();
+  for (const KeyedRecord& record : page.records) {
+    Store(record, page.end_offset);
+  }
+  ForgetDeletedKeys();
+}
+
+void TopicCache::Store(const KeyedRecord& record, std::uint64_t page_end) {
+  const auto [cached, added] = m_records.try_emplace(record.key);
+  const bool was_deleted = !added && cached->second.value.empty();
+  if (was_deleted) {
+    --m_deleted_keys;
+  }
+  if (record.value.empty()) {
+    ++m_deleted_keys;
   }
+  cached->second = {record.value, page_end};
 }
 
-void TopicCache::UpdateNewest(const RecordPage& page) {
-  for (const KeyedRecord& record : page.records) {
+void TopicCache::ForgetDeletedKeys() {
+  if (m_deleted_keys <= kMaxDeletedKeys) {
+    return;
+  }
+  std::vector<std::uint64_t> offsets;
+  for (const auto& [key, record] : m_records) {
     if (record.value.empty()) {
-      m_newest_by_key.erase(record.key);
-    } else {
-      m_newest_by_key.insert_or_assign(record.key, record.value);
+      offsets.push_back(record.page_end);
     }
   }
+  const auto middle =
+      offsets.begin() + static_cast<std::ptrdiff_t>(offsets.size() / 2);
+  std::nth_element(offsets.begin(), middle, offsets.end());
+  m_first_offset = std::max(m_first_offset, *middle);
+  m_deleted_keys -= std::erase_if(m_records, [this](const auto& item) {
+    return item.second.value.empty() && item.second.page_end <= m_first_offset;
+  });
 }
 
 RecordPage TopicCache::EmptyPage() const {
@@ -58,10 +99,9 @@
     return std::nullopt;
   }
   RecordPage page = EmptyPage();
-  for (const CachedPage& cached : m_cached_pages) {
-    if (cached.end > from.offset) {
-      page.records.insert(page.records.end(), cached.records.begin(),
-                          cached.records.end());
+  for (const auto& [key, record] : m_records) {
+    if (record.page_end > from.offset) {
+      page.records.push_back({key, record.value});
     }
   }
   return page;
@@ -72,8 +112,10 @@
     return std::nullopt;
   }
   RecordPage page = EmptyPage();
-  for (const auto& [key, value] : m_newest_by_key) {
-    page.records.push_back({key, value});
+  for (const auto& [key, record] : m_records) {
+    if (!record.value.empty()) {
+      page.records.push_back({key, record.value});
+    }
   }
   return page;
 }
--- a/src/state/topic_cache.h
+++ b/src/state/topic_cache.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <deque>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -10,15 +10,18 @@
 namespace snipehall {
 
 // Caches a topic for instances that read it from this one instead of the log:
-// the newest record of each key, and the latest records as whole pages.
+// the newest record of each key. A reader that is behind skips the records that
+// were replaced since, so neither the cache nor a response grows with the
+// number of records that it has missed.
 class TopicCache {
  public:
-  // Maximum number of cached records. The oldest pages are dropped above it,
-  // but never the newest page, which may exceed it alone. The newest records by
-  // key do not count.
-  static constexpr std::size_t kMaxRecords = 1000;
+  // Maximum number of deleted keys that are remembered. Above it, the oldest
+  // half is forgotten, and reads from before these deletions have no result.
+  static constexpr std::size_t kMaxDeletedKeys = 1000;
 
-  // Replaces the whole cache by a snapshot of the topic.
+  // Replaces the cache by a snapshot of the topic. If the snapshot continues
+  // the cached records, which are of the same era, readers can continue as
+  // well.
   void Reset(const RecordPage& snapshot);
   // Adds a page that was read from the end of the previous one.
   void Add(const RecordPage& page);
@@ -29,29 +32,32 @@
   // Position after the last cached record.
   TopicPosition end() const { return m_end; }
 
-  // Returns the cached pages with the records from `from` on, so the first
-  // records may be before `from`. The result has no records when `from` is
-  // end() or of an earlier era, and there is no result when some of the records
-  // are not cached or `from` is of a later era.
+  // Returns the newest record of each key that has records from `from` on; a
+  // deleted key has an empty value. Some of these records may be before `from`.
+  // The result has no records when `from` is end() or of an earlier era, and
+  // there is no result when some of the records are not cached or `from` is of
+  // a later era.
   std::optional<RecordPage> Read(TopicPosition from) const;
   // Returns the newest record of each key; nothing before the first Reset().
   std::optional<RecordPage> ReadNewest() const;
 
  private:
-  // The records of one read, from offset `from` up to `end`.
-  struct CachedPage {
-    std::uint64_t from = 0;
-    std::uint64_t end = 0;
-    std::vector<KeyedRecord> records;
+  struct CachedRecord {
+    // Empty when the key was deleted.
+    std::string value;
+    // End of the page that the record was read with.
+    std::uint64_t page_end = 0;
   };
 
   // A page without records that shows the end of the topic.
   RecordPage EmptyPage() const;
-  void UpdateNewest(const RecordPage& page);
+  // Adds a record of a page that ends at `page_end`.
+  void Store(const KeyedRecord& record, std::uint64_t page_end);
+  // Forgets the oldest deleted keys if there are too many.
+  void ForgetDeletedKeys();
 
-  std::deque<CachedPage> m_cached_pages;
-  std::map<std::string, std::string> m_newest_by_key;
-  std::size_t m_record_count = 0;
+  std::map<std::string, CachedRecord> m_records;
+  std::size_t m_deleted_keys = 0;
   std::uint64_t m_first_offset = 0;
   TopicPosition m_end;
   MonotonicTime m_read_at;
--- a/src/transport/gateway/gateway_control.h
+++ b/src/transport/gateway/gateway_control.h
@@ -636,41 +636,49 @@
   }
 
   void OnPolicyPage(const RecordPage& page, bool /*whole*/) {
-    for (const KeyedRecord& record : page.records) {
-      if (record.key != m_platform.policy_key() || record.value.empty()) {
-        continue;
-      }
-      const MonotonicTime parse_began_at = Now();
-      const auto policy = m_platform.ParsePolicy(record.value);
-      if (!policy) {
-        m_log.Write("configuration_refused",
-                    {{"error", policy.error().message}});
-        continue;
-      }
-      const std::uint64_t version = policy.value()->version();
-      const std::uint64_t known =
-          m_state.policy() ? m_state.policy()->version() : 0;
-      if (m_state.policy() && version <= known) {
-        continue;
+    // Only the newest valid version is of use.
+    for (auto record = page.records.rbegin(); record != page.records.rend();
+         ++record) {
+      if (record->key == m_platform.policy_key() && !record->value.empty() &&
+          ApplyPolicy(page, record->value)) {
+        return;
       }
-      m_log.Write("configuration",
-                  {{"version", std::to_string(version)},
-                   {"before", std::to_string(known)},
-                   {"bytes", std::to_string(record.value.size())},
-                   {"page_bytes", std::to_string(page.size_bytes)},
-                   {"page_records", std::to_string(page.records.size())},
-                   {"source", m_policy_feed.source()},
-                   {"read_ms", ElapsedMs(m_policy_feed.read_began_at())},
-                   {"parse_ms", ElapsedMs(parse_began_at)}});
-      m_state.SetPolicy(policy.value());
-      std::set<ServiceName, std::less<>> keyed;
-      for (const auto& [name, service] : policy.value()->services()) {
-        if (service.keyed) {
-          keyed.insert(name);
-        }
+    }
+  }
+
+  // Puts the configuration `text` of `page` in force unless it is older than
+  // the present one. Returns false if it is invalid.
+  bool ApplyPolicy(const RecordPage& page, const std::string& text) {
+    const MonotonicTime parse_began_at = Now();
+    const auto policy = m_platform.ParsePolicy(text);
+    if (!policy) {
+      m_log.Write("configuration_refused", {{"error", policy.error().message}});
+      return false;
+    }
+    const std::uint64_t version = policy.value()->version();
+    const std::uint64_t known =
+        m_state.policy() ? m_state.policy()->version() : 0;
+    if (m_state.policy() && version <= known) {
+      return true;
+    }
+    m_log.Write("configuration",
+                {{"version", std::to_string(version)},
+                 {"before", std::to_string(known)},
+                 {"bytes", std::to_string(text.size())},
+                 {"page_bytes", std::to_string(page.size_bytes)},
+                 {"page_records", std::to_string(page.records.size())},
+                 {"source", m_policy_feed.source()},
+                 {"read_ms", ElapsedMs(m_policy_feed.read_began_at())},
+                 {"parse_ms", ElapsedMs(parse_began_at)}});
+    m_state.SetPolicy(policy.value());
+    std::set<ServiceName, std::less<>> keyed;
+    for (const auto& [name, service] : policy.value()->services()) {
+      if (service.keyed) {
+        keyed.insert(name);
       }
-      m_key_leader.SetKeyedServices(std::move(keyed));
     }
+    m_key_leader.SetKeyedServices(std::move(keyed));
+    return true;
   }
 
   void OnTargetPage(const RecordPage& page, bool whole) {
--- a/src/transport/http_connection.cc
+++ b/src/transport/http_connection.cc
@@ -69,6 +69,10 @@
 constexpr std::size_t kMaxReadBytes = std::size_t{64} << 10;
 constexpr std::size_t kMaxIdleBufferBytes = std::size_t{4} << 10;
 
+// Maximum time without a byte of a response that is being transferred after the
+// deadline of its call.
+constexpr Milliseconds kMaxTransferPause{700};
+
 // TCP keep-alive detects a peer that vanished without closing the connection
 // within about three seconds, also during long polling.
 constexpr int kKeepAliveIdleSeconds = 1;
@@ -209,10 +213,14 @@
     const auto [read_error, size] =
         co_await http::async_read_some(*stream, m_buffer, parser, kAwait);
     error = read_error;
+    const MonotonicTime now = std::chrono::steady_clock::now();
     if (received == 0) {
+      response.began_at = now;
       ReserveForBody(parser);
     }
     received += size;
+    stream->expires_at(std::max(
+        deadline, std::min(call.transfer_deadline, now + kMaxTransferPause)));
   }
   if (m_bytes != nullptr) {
     m_bytes->sent += written;
--- a/src/transport/http_connection.h
+++ b/src/transport/http_connection.h
@@ -34,12 +34,17 @@
   // Whether the request may be resent if a reused persistent connection turns
   // out to be closed.
   bool retriable = true;
+  // Until when the response may take once it has begun, as long as its bytes
+  // keep coming. Has no effect before the deadline of the call.
+  MonotonicTime transfer_deadline = {};
 };
 
 // The response to an HttpClientRequest.
 struct HttpClientResponse {
   // Time immediately before the request was written.
   MonotonicTime sent;
+  // Arrival of the first bytes.
+  MonotonicTime began_at;
   unsigned status = 0;
   std::string body;
   boost::beast::http::fields headers = {};
@@ -72,8 +77,9 @@
   HttpConnection(const HttpConnection&) = delete;
   HttpConnection& operator=(const HttpConnection&) = delete;
 
-  // Sends `call` and returns the response, or fails by `deadline`. The
-  // connection object must outlive the call.
+  // Sends `call` and returns the response, or fails by `deadline` or, once the
+  // response has begun, by `call.transfer_deadline`. The connection object must
+  // outlive the call.
   boost::asio::awaitable<Result<HttpClientResponse>> Exchange(
       HttpClientRequest call,
       MonotonicTime deadline);
--- a/src/transport/record_log.h
+++ b/src/transport/record_log.h
@@ -11,6 +11,10 @@
 
 namespace snipehall {
 
+// Maximum time for which the response to a read may be transferred after the
+// deadline by which it has to begin.
+constexpr Milliseconds kMaxTransferTime{5000};
+
 // A client of the platform's log, which consists of topics of keyed records.
 // Every call ends by its deadline and fails with the errors described in
 // transport/platform_clients.h.
@@ -19,7 +23,11 @@
 // appended during the read may be missing; a Read() from the page's
 // `end_offset` returns them.
 //
-// Read() returns the records from `offset` on. If there are none, it waits up
+// The responses to both have to begin by the deadline, and may then take up to
+// kMaxTransferTime longer, as long as their bytes keep coming.
+//
+// Read() returns the records from `offset` on, as many as fit into a page; see
+// RecordPage::has_more. If there are none, it waits up
 // to `wait` for the first one. It fails with kNotFound if some of the records
 // have expired, or if the topic ends before `offset` since the log was restored
 // from an older copy. A page of another era than `offset` is not a continuation
--- a/src/transport/relayed_log.h
+++ b/src/transport/relayed_log.h
@@ -65,16 +65,17 @@
         m_relay_selection(std::move(relay_selection)),
         m_schedule(schedule) {}
 
-  // Returns a snapshot of `topic` with the newest record of each key, in the
-  // era `min_era` or a later one. First tries the relay, if there is one, for
-  // up to kRelayResponseMargin, then reads directly for up to `limit`. Fails
-  // with kUnavailable if the log is still in an earlier era.
+  // Returns a snapshot of `topic` with the newest record of each key, up to
+  // `min_end` at least or in a later era. First tries the relay, if there is
+  // one, whose response has to begin within kRelayResponseMargin, then reads
+  // directly, with `limit`. Fails with kUnavailable if the topic still ends
+  // before.
   boost::asio::awaitable<Result<RecordPage>> ReadNewest(std::string topic,
-                                                        LogEra min_era,
+                                                        TopicPosition min_end,
                                                         Milliseconds limit) {
     if (CanUseRelay()) {
       Result<RecordPage> page = co_await ReadFromRelay(
-          "/records?topic=" + topic, min_era, kRelayResponseMargin);
+          "/records?topic=" + topic, min_end, kRelayResponseMargin);
       if (page || m_closed) {
         co_return page;
       }
@@ -82,8 +83,9 @@
     m_source.clear();
     Result<RecordPage> page = co_await m_log->ReadNewest(
         std::move(topic), std::chrono::steady_clock::now() + limit);
-    if (page && page.value().era < min_era) {
-      co_return Fail(ErrorCode::kUnavailable, "the log is in an earlier era");
+    if (page && EndsBefore(page.value(), min_end)) {
+      co_return Fail(ErrorCode::kUnavailable,
+                     "the log ends at an earlier time");
     }
     co_return page;
   }
@@ -91,10 +93,10 @@
   // Returns the next records of `topic` from `from` on, or an empty page if
   // none is added during the long-poll wait. The page is of a later era if the
   // log was restored, and is then no continuation of `from`. First tries the
-  // relay for up to kRelayLongPollWait + kRelayResponseMargin. If there is no
-  // relay or that fails, waits until a direct read is due by
-  // ReadSchedule::interval and then reads directly, for up to the long-poll
-  // wait plus `limit`.
+  // relay, whose response has to begin within kRelayLongPollWait +
+  // kRelayResponseMargin. If there is no relay or that fails, waits until a
+  // direct read is due by ReadSchedule::interval and then reads directly; the
+  // response has to begin within the long-poll wait plus `limit`.
   boost::asio::awaitable<Result<RecordPage>> Read(std::string topic,
                                                   TopicPosition from,
                                                   Milliseconds limit) {
@@ -103,7 +105,7 @@
           "/records?topic=" + topic + "&era=" + std::to_string(from.era) +
               "&from=" + std::to_string(from.offset) +
               "&wait_ms=" + std::to_string(kRelayLongPollWait.count()),
-          from.era, kRelayLongPollWait + kRelayResponseMargin);
+          from, kRelayLongPollWait + kRelayResponseMargin);
       if (page || m_closed) {
         co_return page;
       }
@@ -151,11 +153,15 @@
            std::chrono::steady_clock::now() >= m_relay_selection->direct_until;
   }
 
-  // Requests `path` from the relay. Fails if its records are from an earlier
-  // era than `min_era`.
-  boost::asio::awaitable<Result<RecordPage>> ReadFromRelay(std::string path,
-                                                           LogEra min_era,
-                                                           Milliseconds limit) {
+  static bool EndsBefore(const RecordPage& page, TopicPosition position) {
+    return page.era < position.era ||
+           (page.era == position.era && page.end_offset < position.offset);
+  }
+
+  // Requests `path` from the relay, whose response has to begin within `limit`.
+  // Fails if its records end before `min_end`.
+  boost::asio::awaitable<Result<RecordPage>>
+  ReadFromRelay(std::string path, TopicPosition min_end, Milliseconds limit) {
     if (!m_relay || m_relay->address() != m_relay_selection->address) {
       m_relay = std::make_shared<HttpConnection>(
           m_executor, m_relay_selection->address, kMaxResponseBytes);
@@ -164,22 +170,26 @@
     m_source = relay->address();
     HttpClientRequest call;
     call.path = std::move(path);
-    const Result<HttpClientResponse> response = co_await relay->Exchange(
-        std::move(call), std::chrono::steady_clock::now() + limit);
+    const MonotonicTime deadline = std::chrono::steady_clock::now() + limit;
+    call.transfer_deadline = deadline + kMaxTransferTime;
+    const Result<HttpClientResponse> response =
+        co_await relay->Exchange(std::move(call), deadline);
     if (!response) {
       co_return response.error();
     }
-    const MonotonicTime now = std::chrono::steady_clock::now();
     if (response.value().status != 200) {
       co_return Fail(ErrorCode::kUnavailable,
                      "the relay instance rejected the read");
     }
-    Result<RecordPage> page = DecodeRecordPage(response.value().body, now);
+    // The relay states the age of its records when it begins to respond; the
+    // transfer may take a while.
+    const MonotonicTime began_at = response.value().began_at;
+    Result<RecordPage> page = DecodeRecordPage(response.value().body, began_at);
     if (page) {
       page.value().size_bytes = response.value().body.size();
     }
-    if (page && (now - page.value().received_at > kMaxRelayAge ||
-                 page.value().era < min_era)) {
+    if (page && (began_at - page.value().received_at > kMaxRelayAge ||
+                 EndsBefore(page.value(), min_end))) {
       co_return Fail(ErrorCode::kUnavailable,
                      "the relay instance has lost its connection to the log");
     }
--- a/src/transport/topic_follower.h
+++ b/src/transport/topic_follower.h
@@ -18,8 +18,9 @@
 
 // Consumes a topic of the log: reads a snapshot of the newest record per key,
 // then follows the topic from there. Takes a new snapshot if records expired
-// before they were read, or if the log was restored from an older copy, and
-// retries failed reads with exponential backoff.
+// before they were read, if a page does not reach the end of the topic, so that
+// replaced records need not be read, or if the log was restored from an older
+// copy. Retries failed reads with exponential backoff.
 // Caches the records for instances that read the topic through this one.
 template <RecordLog Log>
 class TopicFollower {
@@ -66,13 +67,16 @@
         continue;
       }
       retry_delay = kInitialRetryDelay;
-      if (m_started) {
-        m_cache.Add(page.value());
-      } else {
+      const bool whole = !m_started || m_behind;
+      if (whole) {
         m_cache.Reset(page.value());
+      } else {
+        m_cache.Add(page.value());
       }
       m_position = page.value().end();
-      m_events.on_page(page.value(), !std::exchange(m_started, true));
+      m_started = true;
+      m_behind = page.value().has_more;
+      m_events.on_page(page.value(), whole);
     }
   }
 
@@ -98,15 +102,19 @@
   // overloading the log during an outage.
   static constexpr Milliseconds kInitialRetryDelay{50};
   static constexpr Milliseconds kMaxRetryDelay{1000};
-  // Time allowed for a read in addition to its long-poll wait.
+  // Time allowed for a read, in addition to its long-poll wait, until its
+  // response begins.
   static constexpr Milliseconds kReadTimeout{700};
-  // Time allowed for reading a snapshot.
+  // Time allowed for each response of a snapshot until it begins.
   static constexpr Milliseconds kReadNewestTimeout{1500};
 
   boost::asio::awaitable<Result<RecordPage>> ReadPage() {
-    if (!m_started) {
-      Result<RecordPage> newest = co_await m_log->ReadNewest(
-          m_topic, m_position.era, kReadNewestTimeout);
+    if (!m_started || m_behind) {
+      // After a restore or the expiry of records, offsets may be lower.
+      const TopicPosition min_end =
+          m_started ? m_position : TopicPosition{m_position.era, 0};
+      Result<RecordPage> newest =
+          co_await m_log->ReadNewest(m_topic, min_end, kReadNewestTimeout);
       co_return newest;
     }
     Result<RecordPage> page =
@@ -122,7 +130,10 @@
   // Where the next read begins.
   TopicPosition m_position;
   MonotonicTime m_read_began_at;
+  // A snapshot was read, so `m_position` is valid.
   bool m_started = false;
+  // The last page did not reach the end of the topic.
+  bool m_behind = false;
   bool m_closed = false;
 };
 
--- a/tests/process/support/gateway_cluster.cc
+++ b/tests/process/support/gateway_cluster.cc
@@ -25,13 +25,18 @@
 "Timeout":"%TIMEOUT%ms","MaxAttempts":2}},
 {"Name":"booking","Kind":"non_idempotent","TargetLatency":"800ms","Priority":1,
 "Match":{"PathPrefix":"/booking/"},"Action":{"Service":"booking",
-"Timeout":"2000ms","MaxAttempts":2}}]}],
+"Timeout":"2000ms","MaxAttempts":2}}%ROUTES%]}],
 "Clusters":[
 {"Name":"catalog","HealthPath":"/health","MaxConnections":130,"Protocol":"h1",
 "Tls":false,"Sharded":true,"WarmUp":"3s","Grants":"call"},
 {"Name":"booking","HealthPath":"/health","MaxConnections":130,
 "Protocol":"h1","Tls":false}]})";
 
+constexpr const char* kRouteTemplate =
+    R"(,{"Name":"catalog-%NUMBER%","Kind":"idempotent","TargetLatency":"600ms",
+"Priority":2,"Match":{"PathPrefix":"/catalog-%NUMBER%/"},"Action":{
+"Service":"catalog","Timeout":"2000ms","MaxAttempts":2}})";
+
 constexpr const char* kSettingsTemplate = R"(
 [Local]
 NodeName = "%NAME%"
@@ -236,9 +241,24 @@
 }
 
 void GatewayCluster::PublishConfiguration(int version, int timeout_ms) {
-  const std::string document = FillTemplate(
-      kConfigurationTemplate, {{"VERSION", std::to_string(version)},
-                               {"TIMEOUT", std::to_string(timeout_ms)}});
+  AppendConfiguration(FillTemplate(kConfigurationTemplate,
+                                   {{"VERSION", std::to_string(version)},
+                                    {"TIMEOUT", std::to_string(timeout_ms)},
+                                    {"ROUTES", ""}}));
+}
+
+void GatewayCluster::PublishLargeConfiguration(int version, int routes) {
+  std::string rules;
+  for (int i = 0; i < routes; ++i) {
+    rules += FillTemplate(kRouteTemplate, {{"NUMBER", std::to_string(i)}});
+  }
+  AppendConfiguration(FillTemplate(kConfigurationTemplate,
+                                   {{"VERSION", std::to_string(version)},
+                                    {"TIMEOUT", "2000"},
+                                    {"ROUTES", rules}}));
+}
+
+void GatewayCluster::AppendConfiguration(const std::string& document) {
   HttpClient(m_store_address)
       .Post("/-/log-append?Topic=keyed.op&part=0",
             platform::EncodeRecord({"config", document}));
--- a/tests/process/support/gateway_cluster.h
+++ b/tests/process/support/gateway_cluster.h
@@ -85,6 +85,8 @@
   // Publishes a configuration in which requests to "catalog" time out after
   // `timeout_ms`.
   void PublishConfiguration(int version, int timeout_ms);
+  // The same with `routes` more routes, which are to "catalog" too.
+  void PublishLargeConfiguration(int version, int routes);
 
   // The events that the targets have written, one JSON object per line.
   std::vector<std::string> Events() const;
@@ -111,6 +113,7 @@
 
   void WriteSettings(const Gateway& gateway, const std::string& peer_port);
   void StartTarget(Target& target);
+  void AppendConfiguration(const std::string& document);
 
   TemporaryDirectory m_directory;
   std::unique_ptr<Process> m_store;
--- a/tests/process/support/relay.cc
+++ b/tests/process/support/relay.cc
@@ -1,5 +1,6 @@
 #include "process/support/relay.h"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <boost/asio/awaitable.hpp>
@@ -12,6 +13,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <chrono>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -55,6 +57,10 @@
     }
   }
 
+  void LimitResponseRate(std::size_t bytes_per_second) {
+    m_response_bytes_per_second = bytes_per_second;
+  }
+
   void ResetConnections() {
     asio::post(m_context, [this] {
       for (const std::weak_ptr<tcp::socket>& weak : m_sockets) {
@@ -92,15 +98,18 @@
     upstream->set_option(tcp::no_delay(true), failure);
     m_sockets.emplace_back(caller);
     m_sockets.emplace_back(upstream);
-    asio::co_spawn(m_context, Forward(caller, upstream, m_requests_paused),
+    asio::co_spawn(m_context,
+                   Forward(caller, upstream, m_requests_paused, false),
                    asio::detached);
-    asio::co_spawn(m_context, Forward(upstream, caller, m_responses_paused),
+    asio::co_spawn(m_context,
+                   Forward(upstream, caller, m_responses_paused, true),
                    asio::detached);
   }
 
   asio::awaitable<void> Forward(Socket from,
                                 Socket to,
-                                const std::atomic<bool>& paused) {
+                                const std::atomic<bool>& paused,
+                                bool limited) {
     std::array<char, 16384> bytes{};
     error_code failure;
     while (!failure) {
@@ -109,6 +118,9 @@
           asio::redirect_error(asio::use_awaitable, failure));
       // A close received while the relay is paused is held back like data.
       co_await WaitWhile(paused);
+      if (limited) {
+        co_await WaitForRate(size);
+      }
       if (!failure) {
         co_await asio::async_write(
             *to, asio::buffer(bytes.data(), size),
@@ -118,6 +130,24 @@
     to->shutdown(tcp::socket::shutdown_send, failure);
   }
 
+  // Waits until the rate limit allows `size` more bytes.
+  asio::awaitable<void> WaitForRate(std::size_t size) {
+    const std::size_t rate = m_response_bytes_per_second;
+    if (rate == 0) {
+      co_return;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    const std::chrono::duration<double> time(static_cast<double>(size) /
+                                             static_cast<double>(rate));
+    m_rate_allows_at =
+        std::max(now, m_rate_allows_at) +
+        std::chrono::duration_cast<std::chrono::steady_clock::duration>(time);
+    asio::steady_timer timer(m_context, m_rate_allows_at);
+    error_code ignored;
+    co_await timer.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+  }
+
   asio::awaitable<void> WaitWhile(const std::atomic<bool>& paused) {
     while (paused) {
       error_code cancelled;
@@ -132,6 +162,9 @@
   asio::steady_timer m_resumed;
   std::atomic<bool> m_requests_paused = false;
   std::atomic<bool> m_responses_paused = false;
+  // Zero for no limit.
+  std::atomic<std::size_t> m_response_bytes_per_second = 0;
+  std::chrono::steady_clock::time_point m_rate_allows_at;
   std::vector<std::weak_ptr<tcp::socket>> m_sockets;
   std::thread m_thread;
 };
@@ -153,6 +186,10 @@
   m_impl->ResetConnections();
 }
 
+void Relay::LimitResponseRate(std::size_t bytes_per_second) {
+  m_impl->LimitResponseRate(bytes_per_second);
+}
+
 void Relay::Resume() {
   m_impl->SetPaused(false, false);
 }
--- a/tests/process/support/relay.h
+++ b/tests/process/support/relay.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <memory>
 #include <string>
 
@@ -26,6 +27,8 @@
   // Forwards from clients to `upstream`, but holds back the other direction.
   void PauseResponses();
   void Resume();
+  // Limits the data from `upstream` to clients, of all connections together.
+  void LimitResponseRate(std::size_t bytes_per_second);
   // Closes every open connection with a TCP reset.
   void ResetConnections();
 
--- a/tests/standins/store.cc
+++ b/tests/standins/store.cc
@@ -100,6 +100,8 @@
     std::shared_ptr<HttpSession> session;
     std::string topic;
     std::uint64_t from = 0;
+    // Maximum size of the response; it has one record at least.
+    std::size_t max_bytes = 0;
     steady_clock::time_point deadline;
   };
 
@@ -182,6 +184,9 @@
     pending_read.session = session;
     pending_read.topic = std::string(QueryValue(request, "Topic"));
     pending_read.from = QueryNumber(request, "From", 0).value_or(0);
+    pending_read.max_bytes = static_cast<std::size_t>(
+        QueryNumber(request, "MaxKb", kDefaultMaxKb).value_or(kDefaultMaxKb)
+        << 10);
     pending_read.deadline =
         steady_clock::now() +
         milliseconds(QueryNumber(request, "WaitMs", 0).value_or(0));
@@ -222,6 +227,10 @@
         BigEndian(topic.end(), 8) + BigEndian(topic.first_offset, 8);
     for (std::uint64_t i = pending_read.from; i < topic.end(); ++i) {
       const std::string& record = topic.records[i - topic.first_offset];
+      if (i > pending_read.from &&
+          body.size() + record.size() > pending_read.max_bytes) {
+        break;
+      }
       body += BigEndian(record.size(), 4) + record;
     }
     HttpResponse response(http::status::ok, 11);
@@ -304,6 +313,8 @@
   static constexpr const char* kTargetTopic = "keyed.servers";
   // Header with the era: one more after each restore.
   static constexpr const char* kEraHeader = "Store-Era";
+  // Maximum size of the response to a read that names none, KiB.
+  static constexpr std::uint64_t kDefaultMaxKb = 1024;
   // Three registration intervals of the keyed target stand-in.
   static constexpr milliseconds kTargetLifetime{900};
 
--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -278,4 +278,60 @@
   connection.Close();
 }
 
+// Guards against dropping what has arrived of a response because the deadline
+// of the call has passed.
+Test(http_client, response_in_transfer_may_take_longer_than_the_deadline) {
+  const std::string body(100, 'x');
+  FakeServer server([&body](tcp::socket& socket) {
+    ReadRequestLine(socket);
+    boost::system::error_code ignored;
+    boost::asio::write(
+        socket,
+        boost::asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: " +
+                            std::to_string(body.size()) + "\r\n\r\n"),
+        ignored);
+    for (const char byte : body) {
+      boost::asio::write(socket, boost::asio::buffer(&byte, 1), ignored);
+      std::this_thread::sleep_for(3ms);
+    }
+  });
+  boost::asio::io_context context;
+  snipehall::HttpConnection connection(context.get_executor(), server.address(),
+                                       body.size());
+  const MonotonicTime deadline = FromNow(100ms);
+  const auto complete = Run(
+      context, connection.Exchange(
+                   {.path = "/records", .transfer_deadline = deadline + 4000ms},
+                   deadline));
+  cr_assert(complete.has_value());
+  cr_assert_eq(complete.value().body, body);
+  const auto late =
+      Run(context, connection.Exchange({.path = "/records"}, FromNow(100ms)));
+  cr_assert(late.error().code == ErrorCode::kTimeout);
+}
+
+// Guards against waiting for a peer that has vanished in the middle of its
+// response until the transfer would have to end.
+Test(http_client, stalled_transfer_is_given_up) {
+  FakeServer server([](tcp::socket& socket) {
+    ReadRequestLine(socket);
+    boost::system::error_code ignored;
+    boost::asio::write(socket,
+                       boost::asio::buffer(std::string(
+                           "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nx")),
+                       ignored);
+    ReadRequestLine(socket);
+  });
+  boost::asio::io_context context;
+  snipehall::HttpConnection connection(context.get_executor(), server.address(),
+                                       100);
+  const MonotonicTime began_at = FromNow(0ms);
+  const auto stalled = Run(
+      context, connection.Exchange(
+                   {.path = "/records", .transfer_deadline = began_at + 20s},
+                   began_at + 100ms));
+  cr_assert(stalled.error().code == ErrorCode::kTimeout);
+  cr_assert_lt(FromNow(0ms) - began_at, 3s);
+}
+
 }  // namespace
--- a/tests/unit/topic_cache_test.cc
+++ b/tests/unit/topic_cache_test.cc
@@ -51,5 +51,51 @@
             (KeyedRecord{"a", "restored"}));
 }
 
+// Guards against a cache, and responses, that grow with the records that were
+// replaced since.
+Test(topic_cache, replaced_records_are_not_read) {
+  TopicCache cache;
+  cache.Reset(MakePage(1, 10, {}));
+  for (std::uint64_t end = 11; end <= 5000; ++end) {
+    cache.Add(MakePage(1, end, {{"a", std::to_string(end)}}));
+  }
+  const auto page = cache.Read({1, 10});
+  cr_assert(page.has_value());
+  cr_assert_eq(page->records.size(), 1);
+  cr_assert(page->records.front() == (KeyedRecord{"a", "5000"}));
+  cr_assert(page->end() == (TopicPosition{1, 5000}));
+}
+
+// Guards against sending all readers to the log when their relay has skipped
+// records itself.
+Test(topic_cache, readers_continue_after_a_snapshot_of_the_same_era) {
+  TopicCache cache;
+  cache.Reset(MakePage(1, 10, {{"a", "1"}, {"b", "1"}, {"c", "1"}}));
+  cache.Reset(MakePage(1, 20, {{"a", "1"}, {"b", "2"}}));
+  const auto page = cache.Read({1, 10});
+  cr_assert(page.has_value());
+  cr_assert_eq(page->records.size(), 2);
+  cr_assert(page->records[0] == (KeyedRecord{"b", "2"}));
+  cr_assert(page->records[1] == (KeyedRecord{"c", ""}));
+  cr_assert(page->end() == (TopicPosition{1, 20}));
+  cr_assert_eq(cache.ReadNewest()->records.size(), 2);
+}
+
+// Guards against readers that never learn of a deletion.
+Test(topic_cache, reads_from_before_forgotten_deletions_fail) {
+  TopicCache cache;
+  cache.Reset(MakePage(1, 0, {}));
+  const std::uint64_t deletions = 3 * TopicCache::kMaxDeletedKeys;
+  for (std::uint64_t end = 1; end <= deletions; ++end) {
+    cache.Add(MakePage(1, end, {{std::to_string(end), ""}}));
+  }
+  cr_assert_not(cache.Read({1, 0}).has_value());
+  for (std::uint64_t from = 0; from <= deletions; ++from) {
+    const auto page = cache.Read({1, from});
+    cr_assert(!page || page->records.size() == deletions - from);
+  }
+  cr_assert(cache.Read({1, deletions - 1}).has_value());
+}
+
 }  // namespace
 }  // namespace snipehall
