Encode relayed records once for all readers

Cause: a relay copied and encoded each version of 257 KB for each of its 32 readers, on the event loop that serves callers, so that readers gave up and went to the store. Class: work per reader that is the same for all.

Change: the encoded page is kept until the topic changes. The age of the records is in a header, so that the body can be sent again; earlier builds read the age in the body.

--- a/src/protocol/record_page_codec.cc
+++ b/src/protocol/record_page_codec.cc
@@ -6,6 +6,7 @@
 #include <kj/io.h>
 
 #include <algorithm>
+#include <charconv>
 #include <limits>
 
 #include "protocol/record_page.capnp.h"
@@ -61,4 +62,15 @@
   }
 }
 
+std::optional<Milliseconds> ParseRecordsAge(std::string_view text) {
+  std::int64_t value = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, value);
+  if (parsed.ec != std::errc() || parsed.ptr != end || value < 0 ||
+      value > kMaxRecordsAge.count()) {
+    return std::nullopt;
+  }
+  return Milliseconds(value);
+}
+
 }  // namespace snipehall
--- a/src/protocol/record_page_codec.h
+++ b/src/protocol/record_page_codec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -18,4 +19,14 @@
 // are malformed.
 Result<RecordPage> DecodeRecordPage(std::string_view bytes, MonotonicTime now);
 
+// Header of the HTTP response with a page: the age of the page in milliseconds.
+// It replaces the age in the body, so that the same body can be sent again
+// later. Earlier builds do not send it.
+constexpr const char* kRecordsAgeHeader = "Snipehall-Records-Age-Ms";
+
+// Parses the value of kRecordsAgeHeader; nothing if it is not a number of
+// milliseconds up to kMaxRecordsAge.
+constexpr Milliseconds kMaxRecordsAge{3'600'000};
+std::optional<Milliseconds> ParseRecordsAge(std::string_view text);
+
 }  // namespace snipehall
--- a/src/transport/gateway/relay_server.cc
+++ b/src/transport/gateway/relay_server.cc
@@ -96,31 +96,52 @@
   return query;
 }
 
-std::optional<RecordPage> RelayServer::FindRecords(
-    const RecordQuery& query) const {
+std::optional<RelayServer::Response> RelayServer::EncodeRecords(
+    const RecordQuery& query) {
   const TopicCache* cache = m_lookup(query.topic);
   if (cache == nullptr) {
     return std::nullopt;
   }
-  return query.from ? cache->Read(*query.from) : cache->ReadNewest();
+  // A reader in an earlier era gets a page without records.
+  const bool has_records = !query.from || query.from->era == cache->end().era;
+  const std::pair key(query.topic, query.from
+                                       ? std::optional(query.from->offset)
+                                       : std::nullopt);
+  const auto known = m_encoded_pages.find(key);
+  if (has_records && known != m_encoded_pages.end() &&
+      known->second.end == cache->end()) {
+    return Response{known->second.body, cache->read_at()};
+  }
+  const std::optional<RecordPage> page =
+      query.from ? cache->Read(*query.from) : cache->ReadNewest();
+  if (!page) {
+    return std::nullopt;
+  }
+  auto body = std::make_shared<const std::string>(
+      EncodeRecordPage(*page, std::chrono::steady_clock::now()));
+  if (has_records && !page->records.empty()) {
+    m_encoded_pages.insert_or_assign(key, EncodedPage{cache->end(), body});
+  }
+  return Response{std::move(body), cache->read_at()};
 }
 
-Task<std::optional<RecordPage>> RelayServer::WaitForRecords(
+Task<std::optional<RelayServer::Response>> RelayServer::WaitForRecords(
     const RecordQuery& query) {
   AsyncEvent event(m_executor);
   const auto position = m_waiters.insert(m_waiters.end(), &event);
   const auto timer =
       std::make_shared<DeadlineTimer>(m_executor, [&event] { event.Notify(); });
   timer->Arm(query.deadline);
-  std::optional<RecordPage> page = FindRecords(query);
-  while (page && page->end() == query.from &&
-         std::chrono::steady_clock::now() < query.deadline) {
+  const auto has_news = [this, &query] {
+    const TopicCache* cache = m_lookup(query.topic);
+    return cache == nullptr || cache->end() != query.from;
+  };
+  while (!has_news() && std::chrono::steady_clock::now() < query.deadline) {
     co_await event.Wait();
-    page = FindRecords(query);
   }
   timer->Close();
   m_waiters.erase(position);
-  co_return page;
+  co_return EncodeRecords(query);
 }
 
 Task<void> RelayServer::Serve(Socket socket) {
@@ -142,24 +163,33 @@
         ParseQuery(stream->data().substr(0, size));
     stream->Consume(size);
     timer->Disarm();
-    std::optional<RecordPage> page;
+    std::optional<Response> response;
     if (query) {
-      page = co_await WaitForRecords(*query);
-    }
-    std::string body;
-    if (page) {
-      body = EncodeRecordPage(*page, std::chrono::steady_clock::now());
+      response = co_await WaitForRecords(*query);
     }
+    const std::string_view body =
+        response ? std::string_view(*response->body) : std::string_view();
     std::string head =
-        page ? "HTTP/1.1 200 OK\r\n" : "HTTP/1.1 404 Not Found\r\n";
+        response ? "HTTP/1.1 200 OK\r\n" : "HTTP/1.1 404 Not Found\r\n";
+    if (response) {
+      const auto age = std::chrono::duration_cast<Milliseconds>(
+          std::chrono::steady_clock::now() - response->read_at);
+      head.append(kRecordsAgeHeader)
+          .append(": ")
+          .append(std::to_string(age.count()))
+          .append("\r\n");
+    }
     head.append("Content-Length: ")
         .append(std::to_string(body.size()))
         .append("\r\n\r\n");
     std::size_t written = 0;
     timer->Arm(std::chrono::steady_clock::now() + kIdleTimeout);
-    error = co_await stream->Write(
-        {boost::asio::buffer(head), boost::asio::buffer(body), {}, {}},
-        written);
+    error =
+        co_await stream->Write({boost::asio::buffer(head),
+                                boost::asio::buffer(body.data(), body.size()),
+                                {},
+                                {}},
+                               written);
   }
   timer->Close();
   m_streams.erase(stream.get());
@@ -167,6 +197,7 @@
 }
 
 void RelayServer::Notify() {
+  m_encoded_pages.clear();
   for (AsyncEvent* event : m_waiters) {
     event->Notify();
   }
--- a/src/transport/gateway/relay_server.h
+++ b/src/transport/gateway/relay_server.h
@@ -2,11 +2,13 @@
 
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "state/result.h"
 #include "state/topic_cache.h"
@@ -51,17 +53,33 @@
     MonotonicTime deadline;
   };
 
+  // An encoded page, which is sent to all readers that ask for the same
+  // records.
+  struct Response {
+    std::shared_ptr<const std::string> body;
+    // When the records were read from the log.
+    MonotonicTime read_at;
+  };
+
   Task<void> Serve(Socket socket);
   // The response to `query`, after waiting for a record as it asks; nothing
   // when the records are not available.
-  Task<std::optional<RecordPage>> WaitForRecords(const RecordQuery& query);
+  Task<std::optional<Response>> WaitForRecords(const RecordQuery& query);
   // The response to `query` that is possible now.
-  std::optional<RecordPage> FindRecords(const RecordQuery& query) const;
+  std::optional<Response> EncodeRecords(const RecordQuery& query);
   static std::optional<RecordQuery> ParseQuery(std::string_view head);
 
   Executor m_executor;
   Acceptor m_acceptor;
   Lookup m_lookup;
+  // Responses with records by the query's topic and position, where a snapshot
+  // has no position. Valid while the topic ends at `end`.
+  struct EncodedPage {
+    TopicPosition end;
+    std::shared_ptr<const std::string> body;
+  };
+  std::map<std::pair<std::string, std::optional<std::uint64_t>>, EncodedPage>
+      m_encoded_pages;
   std::list<AsyncEvent*> m_waiters;
   std::set<ByteStream*> m_streams;
 };
--- a/src/transport/relayed_log.h
+++ b/src/transport/relayed_log.h
@@ -185,6 +185,12 @@
     // transfer may take a while.
     const MonotonicTime began_at = response.value().began_at;
     Result<RecordPage> page = DecodeRecordPage(response.value().body, began_at);
+    const auto age =
+        ParseRecordsAge(response.value().Header(kRecordsAgeHeader));
+    if (page && age) {
+      page.value().received_at = began_at - *age;
+      page.value().sent_at = page.value().received_at;
+    }
     if (page) {
       page.value().size_bytes = response.value().body.size();
     }
