--- a/src/state/route_policy.cc
+++ b/src/state/route_policy.cc
@@ -18,6 +18,7 @@
     ServiceName name = service.name;
     policy->m_services.insert_or_assign(std::move(name), std::move(service));
   }
+  policy->m_index.reserve(policy->m_routes.size());
   for (std::size_t i = 0; i < policy->m_routes.size(); ++i) {
     const Route& route = policy->m_routes[i];
     if (route.path_prefix.empty() || route.path_prefix.front() != '/' ||
