--- a/tests/process/support/gateway_cluster.cc
+++ b/tests/process/support/gateway_cluster.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/json.hpp>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
@@ -41,7 +42,7 @@
 [Local]
 NodeName = "%NAME%"
 Ip = "127.0.0.1"
-Zone = "zone-1"
+Zone = "%ZONE%"
 [Network]
 InternalPorts = [%PEER%, %PEER%]
 [Network.Listen]
@@ -114,7 +115,11 @@
     gateway.name = "entry-" + std::to_string(i + 1);
     gateway.address = ChooseAddress();
     gateway.status_address = ChooseAddress();
+    gateway.zone = "zone-" + std::to_string(options.target_links ? i + 1 : 1);
     gateway.store_link = std::make_unique<Relay>(m_store_address);
+    if (options.target_links) {
+      LinkTargets(gateway);
+    }
     gateway.settings_file =
         (m_directory.path() / (gateway.name + ".toml")).string();
     WriteSettings(gateway, ChoosePort());
@@ -123,10 +128,28 @@
   }
 }
 
+void GatewayCluster::LinkTargets(Gateway& gateway) {
+  boost::json::object addresses;
+  for (const Target& target : m_targets) {
+    gateway.target_links.push_back(std::make_unique<Relay>(target.address));
+    addresses[target.address] = gateway.target_links.back()->address();
+  }
+  ControlStore("/test/view", boost::json::serialize(boost::json::object{
+                                 {"host", gateway.store_link->address()},
+                                 {"addresses", std::move(addresses)}}));
+}
+
+void GatewayCluster::CutOffFromTargets(std::size_t gateway, bool cut_off) {
+  for (const std::unique_ptr<Relay>& link : m_gateways[gateway].target_links) {
+    link->Refuse(cut_off);
+  }
+}
+
 void GatewayCluster::WriteSettings(const Gateway& gateway,
                                    const std::string& peer_port) {
   std::ofstream(gateway.settings_file) << FillTemplate(
       kSettingsTemplate, {{"NAME", gateway.name},
+                          {"ZONE", gateway.zone},
                           {"PEER", peer_port},
                           {"FRONT", gateway.address},
                           {"READY", gateway.status_address},
--- a/tests/process/support/gateway_cluster.h
+++ b/tests/process/support/gateway_cluster.h
@@ -31,6 +31,9 @@
     // Rate limit that the targets name, requests per second; none if it is
     // empty.
     std::string rate_limit;
+    // Each gateway reaches the targets through relays of its own, and is in an
+    // availability zone of its own, so that it reads no addresses from others.
+    bool target_links = false;
   };
 
   explicit GatewayCluster(const Options& options);
@@ -71,6 +74,10 @@
     return *m_gateways[gateway].store_link;
   }
 
+  // Cuts the gateway off from all targets: connections are reset and new ones
+  // refused. Needs Options::target_links.
+  void CutOffFromTargets(std::size_t gateway, bool cut_off);
+
   std::size_t targets() const { return m_targets.size(); }
   void SignalTarget(std::size_t target, int signal);
   // Whether the target's process has ended. A request whose path contains
@@ -99,7 +106,9 @@
     std::string address;
     std::string status_address;
     std::string settings_file;
+    std::string zone;
     std::unique_ptr<Relay> store_link;
+    std::vector<std::unique_ptr<Relay>> target_links;
     std::unique_ptr<Process> process;
   };
 
@@ -113,6 +122,8 @@
 
   void WriteSettings(const Gateway& gateway, const std::string& peer_port);
   void StartTarget(Target& target);
+  // Makes the gateway reach the targets through relays.
+  void LinkTargets(Gateway& gateway);
   void AppendConfiguration(const std::string& document);
 
   TemporaryDirectory m_directory;
--- a/tests/process/support/relay.cc
+++ b/tests/process/support/relay.cc
@@ -32,6 +32,7 @@
       : m_upstream(ParseAddress(upstream)),
         m_acceptor(m_context,
                    tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+        m_endpoint(m_acceptor.local_endpoint()),
         m_resumed(m_context, asio::steady_timer::time_point::max()) {
     asio::co_spawn(m_context, Accept(), asio::detached);
     m_thread = std::thread([this] { m_context.run(); });
@@ -46,7 +47,7 @@
   Impl& operator=(const Impl&) = delete;
 
   std::string address() const {
-    return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    return "127.0.0.1:" + std::to_string(m_endpoint.port());
   }
 
   void SetPaused(bool requests, bool responses) {
@@ -61,26 +62,46 @@
     m_response_bytes_per_second = bytes_per_second;
   }
 
-  void ResetConnections() {
-    asio::post(m_context, [this] {
-      for (const std::weak_ptr<tcp::socket>& weak : m_sockets) {
-        if (const Socket socket = weak.lock()) {
-          error_code ignored;
-          socket->set_option(asio::socket_base::linger(true, 0), ignored);
-          socket->close(ignored);
-        }
+  void Refuse(bool refuse) {
+    asio::post(m_context, [this, refuse] {
+      CloseConnections();
+      error_code ignored;
+      if (refuse) {
+        m_acceptor.close(ignored);
+      } else if (!m_acceptor.is_open()) {
+        m_acceptor = tcp::acceptor(m_context, m_endpoint);
+        asio::co_spawn(m_context, Accept(), asio::detached);
       }
-      m_sockets.clear();
     });
   }
 
+  void ResetConnections() {
+    asio::post(m_context, [this] { CloseConnections(); });
+  }
+
  private:
   using Socket = std::shared_ptr<tcp::socket>;
 
+  void CloseConnections() {
+    for (const std::weak_ptr<tcp::socket>& weak : m_sockets) {
+      if (const Socket socket = weak.lock()) {
+        error_code ignored;
+        socket->set_option(asio::socket_base::linger(true, 0), ignored);
+        socket->close(ignored);
+      }
+    }
+    m_sockets.clear();
+  }
+
   asio::awaitable<void> Accept() {
     for (;;) {
-      auto caller = std::make_shared<tcp::socket>(
-          co_await m_acceptor.async_accept(asio::use_awaitable));
+      auto caller = std::make_shared<tcp::socket>(m_context);
+      error_code failure;
+      co_await m_acceptor.async_accept(
+          *caller, asio::redirect_error(asio::use_awaitable, failure));
+      if (failure) {
+        co_return;
+      }
       asio::co_spawn(m_context, Connect(std::move(caller)), asio::detached);
     }
   }
@@ -159,6 +180,7 @@
   asio::io_context m_context{1};
   tcp::endpoint m_upstream;
   tcp::acceptor m_acceptor;
+  tcp::endpoint m_endpoint;
   asio::steady_timer m_resumed;
   std::atomic<bool> m_requests_paused = false;
   std::atomic<bool> m_responses_paused = false;
@@ -190,6 +212,10 @@
   m_impl->LimitResponseRate(bytes_per_second);
 }
 
+void Relay::Refuse(bool refuse) {
+  m_impl->Refuse(refuse);
+}
+
 void Relay::Resume() {
   m_impl->SetPaused(false, false);
 }
--- a/tests/process/support/relay.h
+++ b/tests/process/support/relay.h
@@ -31,6 +31,9 @@
   void LimitResponseRate(std::size_t bytes_per_second);
   // Closes every open connection with a TCP reset.
   void ResetConnections();
+  // The same, and refuses new connections if `refuse` is true, or accepts them
+  // again.
+  void Refuse(bool refuse);
 
  private:
   class Impl;
--- a/tests/standins/store.cc
+++ b/tests/standins/store.cc
@@ -5,6 +5,7 @@
 #include <boost/endian/conversion.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <chrono>
 #include <list>
@@ -68,6 +69,8 @@
       Answer(session, JsonAnswer(http::status::ok, "{}"));
     } else if (post && path == "/test/restore") {
       Restore(session);
+    } else if (post && path == "/test/view") {
+      SetView(session);
     } else if (m_outage.Intercept(session)) {
       return;
     } else if (post && path == "/-/log-append") {
@@ -129,6 +132,41 @@
     Answer(session, JsonAnswer(http::status::ok, "{}"));
   }
 
+  // Makes clients that send the header Host with `host` see the targets at
+  // other addresses. Body: {"host": ..., "addresses": {address: other
+  // address}}.
+  void SetView(const std::shared_ptr<HttpSession>& session) {
+    boost::system::error_code error;
+    const json::value body = json::parse(session->request().body(), error);
+    if (error || !body.is_object()) {
+      Answer(session, ErrorAnswer(http::status::bad_request, "not an object"));
+      return;
+    }
+    auto& view = m_views[std::string(body.at("host").as_string())];
+    for (const auto& [address, other] : body.at("addresses").as_object()) {
+      view[std::string(address)] = std::string(other.as_string());
+    }
+    Answer(session, JsonAnswer(http::status::ok, "{}"));
+  }
+
+  // Returns a record of `topic`, or its value, as the client sees it.
+  std::string Show(const HttpRequest& request,
+                   const std::string& topic,
+                   std::string record) const {
+    const auto view = m_views.find(std::string(request[http::field::host]));
+    if (topic != kTargetTopic || view == m_views.end()) {
+      return record;
+    }
+    for (const auto& [address, other] : view->second) {
+      const std::string quoted = '"' + address + '"';
+      if (const auto at = record.find(quoted); at != std::string::npos) {
+        record.replace(at, quoted.size(), '"' + other + '"');
+        break;
+      }
+    }
+    return record;
+  }
+
   // Appends the records of the body, each with a 4-byte big-endian length
   // prefix. Refuses them if `At` is given and is not the end offset of the
   // topic.
@@ -226,7 +264,9 @@
     std::string body =
         BigEndian(topic.end(), 8) + BigEndian(topic.first_offset, 8);
     for (std::uint64_t i = pending_read.from; i < topic.end(); ++i) {
-      const std::string& record = topic.records[i - topic.first_offset];
+      const std::string record =
+          Show(pending_read.session->request(), pending_read.topic,
+               topic.records[i - topic.first_offset]);
       if (i > pending_read.from &&
           body.size() + record.size() > pending_read.max_bytes) {
         break;
@@ -258,13 +298,13 @@
   }
 
   void ReadNewest(const std::shared_ptr<HttpSession>& session) {
-    const Topic& topic =
-        m_topics[std::string(QueryValue(session->request(), "Topic"))];
+    const std::string name(QueryValue(session->request(), "Topic"));
+    const Topic& topic = m_topics[name];
     json::array items;
     for (const auto& [key, record] : topic.newest_by_key) {
+      const std::string shown = Show(session->request(), name, record.second);
       const kj::String value = kj::encodeBase64(kj::ArrayPtr<const kj::byte>(
-          reinterpret_cast<const kj::byte*>(record.second.data()),
-          record.second.size()));
+          reinterpret_cast<const kj::byte*>(shown.data()), shown.size()));
       items.push_back(json::object{{"Key", key},
                                    {"Value", std::string(value.cStr())},
                                    {"Offset", record.first}});
@@ -324,6 +364,8 @@
   // The copy for the next restore.
   Topics m_copy;
   std::uint64_t m_era = 1;
+  // Addresses of targets as the clients see them, by the Host header.
+  std::map<std::string, std::map<std::string, std::string>> m_views;
   std::list<PendingRead> m_pending_reads;
   Outage m_outage;
   // Number of following appends whose responses are dropped.
