Replace a leader that reaches no target of a keyed service

Cause: a leader is judged by its answers to reports and by the log, not by whether its orders arrive. It kept the lead, its grants ended after 4 s, and targets answered 421 to all. Class: a failure detector that watches another path than the one the duty needs.

Change: TargetReachability tells for each service whether an instance reaches any target: after a failed connection or order, or a second without a response, up to six targets are probed with a connection, and all must fail. An instance reports the services that it does not reach. A leader declines the reports of those that reach more keyed services than itself, so that one of them takes over; one that is cut off itself waits five more reports. If none is better off, the lead stays. Events targets_unreachable and targets_reachable, gauge cut_off_services.

--- a/src/coordination/leader_failure_detector.h
+++ b/src/coordination/leader_failure_detector.h
@@ -28,6 +28,10 @@
   // relays the log to its zone and sends orders to all targets.
   static constexpr int kSlowLinkReports = 2;
 
+  // Additional reports for which an instance waits that reaches no target,
+  // since its orders would not arrive.
+  static constexpr int kCutOffReports = 5;
+
   // The random delay is 0 to kInitialJitterReports - 1 reports while no leader
   // is known, and 0 or 1 report later.
   static constexpr int kInitialJitterReports = 4;
@@ -49,16 +53,21 @@
   // one; see RelayPlanner::IsMuchFaster().
   void OnServing(std::string_view from, bool faster);
   // Call when the instance `from` declined a report: it is not the leader, the
-  // log has not confirmed it as the leader recently, it is shutting down, or
-  // the link of this instance is much faster than its own.
+  // log has not confirmed it as the leader recently, it is shutting down, it
+  // reaches no target and this instance does, or the link of this instance is
+  // much faster than its own.
   void OnNotServing(std::string_view from);
 
+  // Sets whether this instance reaches no target.
+  void set_cut_off(bool cut_off) { m_cut_off = cut_off; }
+
   // Whether this instance should try to take over now. True until an attempt
   // succeeds here or elsewhere, or the leader answers again.
   bool ShouldTakeOver() const {
     const int unanswered = m_leader.empty() ? 0 : kMaxUnansweredReports;
     const int slow = m_faster ? kSlowLinkReports : 0;
-    return m_unanswered > unanswered + m_jitter_reports + slow;
+    const int cut_off = m_cut_off ? kCutOffReports : 0;
+    return m_unanswered > unanswered + m_jitter_reports + slow + cut_off;
   }
 
  private:
@@ -69,6 +78,7 @@
   int m_unanswered = 0;
   int m_jitter_reports = 0;
   bool m_faster = false;
+  bool m_cut_off = false;
 };
 
 }  // namespace snipehall
--- a/src/coordination/leader_message.h
+++ b/src/coordination/leader_message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -21,6 +22,9 @@
   KeyLoadReport load;
   // Rate of the instance's network link, Mbit/s; zero when it is not known.
   LinkRate link_mbps = 0;
+  // The services of which the instance reaches no target; see
+  // TargetReachability.
+  std::set<ServiceName, std::less<>> cut_off_services;
 };
 
 // Response of the leader to a report.
--- a/src/protocol/lead_message.capnp
+++ b/src/protocol/lead_message.capnp
@@ -49,6 +49,8 @@
   load @2 :LoadReport;
   # Rate of the sender's network link, in Mbit/s.
   link @3 :UInt32;
+  # The services of which the sender reaches no target.
+  cutOff @4 :List(Text);
 }
 
 struct Serving {
--- a/src/protocol/lead_message.capnp.h
+++ b/src/protocol/lead_message.capnp.h
@@ -70,7 +70,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f22ece0f93db5bf7, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(f22ece0f93db5bf7, 1, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -442,6 +442,9 @@
 
   inline  ::uint32_t getLink() const;
 
+  inline bool hasCutOff() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getCutOff() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -494,6 +497,14 @@
   inline  ::uint32_t getLink();
   inline void setLink( ::uint32_t value);
 
+  inline bool hasCutOff();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getCutOff();
+  inline void setCutOff( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setCutOff(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initCutOff(unsigned int size);
+  inline void adoptCutOff(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownCutOff();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1982,6 +1993,44 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Report::Reader::hasCutOff() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Report::Builder::hasCutOff() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Report::Reader::getCutOff() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Report::Builder::getCutOff() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Report::Builder::setCutOff( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void Report::Builder::setCutOff(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Report::Builder::initCutOff(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Report::Builder::adoptCutOff(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Report::Builder::disownCutOff() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline bool Serving::Reader::hasReader() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/protocol/leader_message_codec.cc
+++ b/src/protocol/leader_message_codec.cc
@@ -56,6 +56,16 @@
   }
 }
 
+LeaderReport ReadReport(wire::Report::Reader reader) {
+  LeaderReport report{FromText(reader.getZone()),
+                      FromText(reader.getRelayAddress()),
+                      ReadLoad(reader.getLoad()), reader.getLink()};
+  for (const auto service : reader.getCutOff()) {
+    report.cut_off_services.insert(FromText(service));
+  }
+  return report;
+}
+
 // Writes the content of a message into `root`.
 struct ContentWriter {
   wire::LeadMessage::Builder root;
@@ -66,6 +76,12 @@
     builder.setRelayAddress(ToText(report.relay_address));
     WriteLoad(report.load, builder.initLoad());
     builder.setLink(report.link_mbps);
+    auto services = builder.initCutOff(
+        static_cast<unsigned>(report.cut_off_services.size()));
+    unsigned index = 0;
+    for (const ServiceName& service : report.cut_off_services) {
+      services.set(index++, ToText(service));
+    }
   }
   void operator()(const LeaderServing& serving) {
     auto builder = root.initServing();
@@ -135,10 +151,7 @@
   message.from = FromText(reader.getFrom());
   switch (reader.which()) {
     case wire::LeadMessage::REPORT:
-      message.content = LeaderReport{
-          FromText(reader.getReport().getZone()),
-          FromText(reader.getReport().getRelayAddress()),
-          ReadLoad(reader.getReport().getLoad()), reader.getReport().getLink()};
+      message.content = ReadReport(reader.getReport());
       return message;
     case wire::LeadMessage::SERVING:
       message.content = LeaderServing{
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -9,11 +9,13 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 
 #include "protocol/request_digest.h"
 #include "transport/gateway/gateway_control.h"
 #include "transport/gateway/gateway_server.h"
 #include "transport/gateway/leader_link.h"
+#include "transport/gateway/target_prober.h"
 
 namespace snipehall {
 
@@ -54,7 +56,12 @@
                   m_log,
                   m_link,
                   m_context.poison_requests,
+                  m_context.services,
                   m_seed),
+        m_prober(io.get_executor(),
+                 m_context.services,
+                 m_seed,
+                 [this] { UpdateReachability(); }),
         m_report_timer(io),
         m_signals(io, SIGTERM, SIGINT, SIGHUP),
         m_load_settings(std::move(load_settings)),
@@ -74,6 +81,8 @@
     m_context.on_target_unreachable = [this](std::string_view target) {
       m_control.OnTargetUnreachable(target);
     };
+    m_context.on_connect_failed = [this] { UpdateReachability(); };
+    m_control.set_on_order_failed([this] { UpdateReachability(); });
     m_context.on_failed_request = [this](const FailedRequest& request) {
       LogFailedRequest(request);
     };
@@ -187,6 +196,7 @@
     m_report_timer.async_wait([this](const boost::system::error_code& error) {
       if (!error) {
         RecordEventLoopDelay();
+        UpdateReachability();
         m_control.ReportLoad(m_context.key_loads.TakeReports());
         ApplyInstanceCount();
         m_context.rate_limits.Retain([this](const TargetId& id) {
@@ -209,6 +219,31 @@
     }
   }
 
+  // Starts the probes of targets that are due, and acts on a change of the
+  // services of which this instance reaches no target.
+  void UpdateReachability() {
+    m_prober.Update();
+    std::set<ServiceName, std::less<>> cut_off_services =
+        m_context.services.CutOffServices();
+    if (cut_off_services == m_cut_off_services) {
+      return;
+    }
+    for (const ServiceName& service : cut_off_services) {
+      if (!m_cut_off_services.contains(service)) {
+        m_log.Write("targets_unreachable", {{"service", service}});
+      }
+    }
+    for (const ServiceName& service : m_cut_off_services) {
+      if (!cut_off_services.contains(service)) {
+        m_log.Write("targets_reachable", {{"service", service}});
+      }
+    }
+    m_cut_off_services = std::move(cut_off_services);
+    m_metrics.SetGauge("cut_off_services",
+                       static_cast<double>(m_cut_off_services.size()));
+    m_control.OnReachabilityChanged();
+  }
+
   void RecordEventLoopDelay() {
     const auto delay = Now() - m_report_timer.expiry();
     m_metrics.RecordEventLoopDelay(
@@ -245,6 +280,7 @@
         m_log.Write("stopped",
                     {{"busy", std::to_string(m_server->active_requests())}});
         m_server->Stop();
+        m_prober.Close();
         m_control.Stop();
         m_link.Close();
         m_report_timer.cancel();
@@ -268,6 +304,9 @@
   LeaderLink m_link;
   GatewayContext m_context;
   GatewayControl<Platform> m_control;
+  TargetProber m_prober;
+  // The services of which this instance reaches no target.
+  std::set<ServiceName, std::less<>> m_cut_off_services;
   std::unique_ptr<GatewayServer> m_server;
   boost::asio::steady_timer m_report_timer;
   boost::asio::signal_set m_signals;
--- a/src/transport/gateway/gateway_context.h
+++ b/src/transport/gateway/gateway_context.h
@@ -81,6 +81,9 @@
   BufferBudget response_buffers;
   // Open sessions; each adds and removes itself.
   std::set<GatewaySession*> sessions;
+  // Called when a connection to a target could not be made, after the
+  // TargetReachability of its service was told.
+  std::function<void()> on_connect_failed;
   // Called with the owner of a key when a connection to it fails.
   std::function<void(std::string_view target)> on_target_unreachable;
   std::function<void(const FailedRequest&)> on_failed_request;
--- a/src/transport/gateway/gateway_control.h
+++ b/src/transport/gateway/gateway_control.h
@@ -29,6 +29,7 @@
 #include "protocol/request_digest.h"
 #include "transport/event_log.h"
 #include "transport/gateway/gateway_metrics.h"
+#include "transport/gateway/gateway_services.h"
 #include "transport/gateway/gateway_settings.h"
 #include "transport/gateway/leader_link.h"
 #include "transport/gateway/permit_requests.h"
@@ -86,6 +87,7 @@
                  EventLog& log,
                  LeaderLink& link,
                  PoisonRequestDetector& poison_requests,
+                 GatewayServices& services,
                  std::uint64_t seed)
       : m_executor(executor),
         m_platform(platform),
@@ -94,6 +96,7 @@
         m_log(log),
         m_link(link),
         m_poison_requests(poison_requests),
+        m_services(services),
         m_instance(settings.instance),
         m_leader_failure_detector(seed),
         m_key_leader(settings.instance, settings.peer_address),
@@ -196,9 +199,10 @@
     const std::string relay_address =
         CanRelayRecords() ? m_peer_address : std::string();
     for (KeyLoadReport& report : reports) {
-      m_link.Send(m_state.keys().leader_address,
-                  {m_instance, LeaderReport{m_zone, relay_address,
-                                            std::move(report), m_link_mbps}});
+      m_link.Send(
+          m_state.keys().leader_address,
+          {m_instance, LeaderReport{m_zone, relay_address, std::move(report),
+                                    m_link_mbps, m_services.CutOffServices()}});
     }
     ReportPoisonRequests(now);
     m_leader_failure_detector.OnReportSent();
@@ -207,6 +211,14 @@
     }
   }
 
+  // Call when the services have changed of which this instance reaches no
+  // target; see TargetReachability. The leader is told at once.
+  void OnReachabilityChanged() {
+    m_leader_failure_detector.set_cut_off(
+        !CutOffKeyedServices(m_services.CutOffServices()).empty());
+    ReportLoad({});
+  }
+
   // Number of instances, this one included; nothing while it is not known.
   std::optional<int> InstanceCount() const { return m_instances.Count(Now()); }
 
@@ -275,6 +287,11 @@
     RunGuarded(message.from, [&] { HandleMessage(sender, message); });
   }
 
+  // Sets a callback for orders that failed without a response of their target.
+  void set_on_order_failed(std::function<void()> on_order_failed) {
+    m_on_order_failed = std::move(on_order_failed);
+  }
+
   // Call when the instance begins to shut down. Makes it decline reports, so
   // that another one becomes the leader, and no longer offer itself as the
   // leader or as a relay.
@@ -367,8 +384,10 @@
         return;
       }
       // Another instance shall replace a leader that cannot read the log or
-      // shuts down, and the sender one with a much slower network link.
+      // shuts down, and the sender one whose orders do not arrive or that has a
+      // much slower network link.
       if (!m_key_leader.IsLeader(now) || m_draining ||
+          IsMoreCutOff(report->cut_off_services) ||
           RelayPlanner::IsMuchFaster(report->link_mbps, m_link_mbps)) {
         m_link.Send(sender, {m_instance, LeaderNotServing()});
         return;
@@ -461,6 +480,27 @@
     }
   }
 
+  // The keyed ones of `services`.
+  std::set<ServiceName, std::less<>> CutOffKeyedServices(
+      const std::set<ServiceName, std::less<>>& services) const {
+    std::set<ServiceName, std::less<>> result;
+    for (const ServiceName& name : services) {
+      const ServicePolicy* policy =
+          m_state.policy() ? m_state.policy()->FindService(name) : nullptr;
+      if (policy != nullptr && policy->keyed) {
+        result.insert(name);
+      }
+    }
+    return result;
+  }
+
+  // Whether this instance reaches no target of more keyed services than another
+  // one, which reaches none of `services`.
+  bool IsMoreCutOff(const std::set<ServiceName, std::less<>>& services) const {
+    return CutOffKeyedServices(m_services.CutOffServices()).size() >
+           CutOffKeyedServices(services).size();
+  }
+
   // Sends losses to the leader.
   void SendLosses(const std::vector<PoisonRequestDetector::Loss>& losses) {
     const MonotonicTime now = Now();
@@ -926,6 +966,7 @@
                                    ? kReleaseTimeout
                                    : KeyLeader::kOrderTimeout;
     const std::int64_t start_time_ms = StartTimeOf(order.target);
+    const MonotonicTime began_at = Now();
     const KeyOrderResult result = co_await orders->Send(order, Now() + limit);
     if (m_stopped) {
       co_return;
@@ -936,9 +977,25 @@
     m_order_clients[order.address].push_back(orders);
     RecordOrder(order, result);
     m_key_leader.OnOrderResult(Now(), order, result);
+    if (result.outcome == KeyOrderOutcome::kNotSent ||
+        result.outcome == KeyOrderOutcome::kUnknown) {
+      RecordOrderFailure(order, began_at);
+    }
     WakeLeader();
   }
 
+  void RecordOrderFailure(const KeyOrder& order, MonotonicTime began_at) {
+    const auto target = m_state.targets().find(order.target);
+    if (target == m_state.targets().end()) {
+      return;
+    }
+    if (GatewayService* service =
+            m_services.Find(Now(), target->second.service)) {
+      service->reachability.OnConnectFailed(began_at);
+      m_on_order_failed();
+    }
+  }
+
   // Start time of the target's process; zero if the target is not listed.
   std::int64_t StartTimeOf(std::string_view target) const {
     const auto found = m_state.targets().find(target);
@@ -999,6 +1056,7 @@
   EventLog& m_log;
   LeaderLink& m_link;
   PoisonRequestDetector& m_poison_requests;
+  GatewayServices& m_services;
   InstanceId m_instance;
   LeaderFailureDetector m_leader_failure_detector;
   TargetRegistry m_registry;
@@ -1034,6 +1092,7 @@
   std::string m_peer_address;
   RelayServer m_relay_server;
   KeyTopicCursor m_key_cursor;
+  std::function<void()> m_on_order_failed = [] {};
   bool m_has_keys = false;
   // When a read of the key topic last succeeded after an outage, or when the
   // log was last restored.
--- a/src/transport/gateway/gateway_router.cc
+++ b/src/transport/gateway/gateway_router.cc
@@ -271,8 +271,10 @@
       std::chrono::duration_cast<Milliseconds>(sent - m_request.received_at);
   TargetExchange exchange(m_request, *stream, m_context.names,
                           m_context.response_buffers, reused);
+  m_service->reachability.OnRequestSent(sent);
   const TargetExchangeResult end =
       co_await exchange.Run(m_target.id, m_request.deadline);
+  m_service->reachability.OnRequestEnded(Now(), exchange.has_response());
   m_target_load = exchange.info().load;
   if (end == TargetExchangeResult::kRefused) {
     m_refused_connections.push_back(stream);
@@ -342,7 +344,8 @@
 
 Task<bool> GatewayRouter::Connect(TargetPool& pool, ByteStream& stream) {
   m_request.target_stream = &stream;
-  m_request.SetStepDeadline(Now() + kConnectTimeout);
+  const MonotonicTime began_at = Now();
+  m_request.SetStepDeadline(began_at + kConnectTimeout);
   const auto [error] =
       co_await stream.socket().async_connect(pool.endpoint(), kAsTuple);
   m_request.target_stream = nullptr;
@@ -354,6 +357,14 @@
   if (error || expired) {
     m_context.metrics.IncrementEvent("connect_failed");
   }
+  if (!error && !expired) {
+    m_service->reachability.OnConnected(Now());
+  } else if (!m_request.interrupted()) {
+    m_service->reachability.OnConnectFailed(began_at);
+    if (m_context.on_connect_failed) {
+      m_context.on_connect_failed();
+    }
+  }
   co_return !error && !expired && !m_request.interrupted();
 }
 
--- a/src/transport/gateway/gateway_services.cc
+++ b/src/transport/gateway/gateway_services.cc
@@ -30,6 +30,16 @@
   return found == m_services.end() ? nullptr : found->second.get();
 }
 
+std::set<ServiceName, std::less<>> GatewayServices::CutOffServices() const {
+  std::set<ServiceName, std::less<>> result;
+  for (const auto& [name, service] : m_services) {
+    if (service->reachability.cut_off() && !service->targets.empty()) {
+      result.insert(name);
+    }
+  }
+  return result;
+}
+
 void GatewayServices::SetRetryLimits(SharedRetryBudget::Limits limits) {
   m_retry_limits = limits;
   for (const auto& [name, service] : m_services) {
--- a/src/transport/gateway/gateway_services.h
+++ b/src/transport/gateway/gateway_services.h
@@ -3,11 +3,13 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string_view>
 #include <vector>
 
 #include "coordination/shared_retry_budget.h"
 #include "coordination/target_chooser.h"
+#include "coordination/target_reachability.h"
 #include "transport/gateway/routing_state.h"
 
 namespace snipehall {
@@ -24,6 +26,7 @@
   ServiceName name;
   TargetChooser chooser;
   SharedRetryBudget retry_budget;
+  TargetReachability reachability;
   // Targets at the indexes that `chooser` returns.
   std::vector<RouteTarget> targets;
 };
@@ -47,6 +50,19 @@
   // such service. The pointer stays valid as long as this object.
   GatewayService* Find(MonotonicTime now, std::string_view name);
 
+  // Calls `function` for each service, with its current targets.
+  template <typename Function>
+  void ForEach(MonotonicTime now, Function function) {
+    Find(now, std::string_view());
+    for (const auto& [name, service] : m_services) {
+      function(*service);
+    }
+  }
+
+  // The services with targets of which this instance reaches none; see
+  // TargetReachability.
+  std::set<ServiceName, std::less<>> CutOffServices() const;
+
  private:
   // Applies the current routing state.
   void Update(MonotonicTime now);
--- a/src/transport/gateway/target_exchange.cc
+++ b/src/transport/gateway/target_exchange.cc
@@ -50,7 +50,6 @@
 Task<TargetExchangeResult> TargetExchange::Exchange(std::string_view target,
                                                     MonotonicTime deadline) {
   m_sending = true;
-  const std::uint64_t received_before = m_stream.received_bytes();
   const error_code send_error = co_await Send(target, deadline);
   m_sending = false;
   m_request_sent = !send_error;
@@ -66,7 +65,7 @@
     m_body_memory.Clear();
     const error_code error = co_await ReceiveResponse();
     if (error) {
-      m_connection_lost = m_stream.received_bytes() == received_before;
+      m_connection_lost = !has_response();
       co_return FailureResult();
     }
     if (IsResponseToRequest()) {
--- a/src/transport/gateway/target_exchange.h
+++ b/src/transport/gateway/target_exchange.h
@@ -51,6 +51,7 @@
         m_stream(stream),
         m_names(names),
         m_reused(reused),
+        m_received_before(stream.received_bytes()),
         m_body_memory(buffers) {}
   TargetExchange(const TargetExchange&) = delete;
   TargetExchange& operator=(const TargetExchange&) = delete;
@@ -63,6 +64,10 @@
 
   // Whether any byte of the request may have reached the target.
   bool sent() const { return m_bytes_written > 0; }
+  // Whether the target has sent anything since.
+  bool has_response() const {
+    return m_stream.received_bytes() > m_received_before;
+  }
   // Whether the connection can be used for another request. Valid after Run().
   bool reusable() const;
   // Whether the connection ended before any byte of a response, as it does when
@@ -104,6 +109,7 @@
   ByteStream& m_stream;
   const GatewayHeaderNames& m_names;
   const bool m_reused;
+  const std::uint64_t m_received_before;
   std::optional<Parser> m_parser;
   TargetResponseInfo m_info;
   std::string m_body;
--- a/tests/process/support/relay.cc
+++ b/tests/process/support/relay.cc
@@ -1,11 +1,14 @@
 #include "process/support/relay.h"
 
+#include <fcntl.h>
+
 #include <algorithm>
 #include <array>
 #include <atomic>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -34,7 +37,7 @@
                    tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
         m_endpoint(m_acceptor.local_endpoint()),
         m_resumed(m_context, asio::steady_timer::time_point::max()) {
-    asio::co_spawn(m_context, Accept(), asio::detached);
+    Listen();
     m_thread = std::thread([this] { m_context.run(); });
   }
 
@@ -70,7 +73,7 @@
         m_acceptor.close(ignored);
       } else if (!m_acceptor.is_open()) {
         m_acceptor = tcp::acceptor(m_context, m_endpoint);
-        asio::co_spawn(m_context, Accept(), asio::detached);
+        Listen();
       }
     });
   }
@@ -93,6 +96,12 @@
     m_sockets.clear();
   }
 
+  void Listen() {
+    // A process that inherits the listener would keep its port open.
+    ::fcntl(m_acceptor.native_handle(), F_SETFD, FD_CLOEXEC);
+    asio::co_spawn(m_context, Accept(), asio::detached);
+  }
+
   asio::awaitable<void> Accept() {
     for (;;) {
       auto caller = std::make_shared<tcp::socket>(m_context);
@@ -178,6 +187,9 @@
   }
 
   asio::io_context m_context{1};
+  // Keeps the thread running while the listener is closed.
+  asio::executor_work_guard<asio::io_context::executor_type> m_work{
+      m_context.get_executor()};
   tcp::endpoint m_upstream;
   tcp::acceptor m_acceptor;
   tcp::endpoint m_endpoint;
--- a/tests/unit/leader_failure_detector_test.cc
+++ b/tests/unit/leader_failure_detector_test.cc
@@ -56,6 +56,32 @@
   cr_assert(slow.ShouldTakeOver());
 }
 
+// Guards against a takeover by an instance whose orders would reach no target
+// while others could lead.
+Test(leader_failure_detector, instance_without_targets_waits_longer) {
+  LeaderFailureDetector connected(kSeed);
+  LeaderFailureDetector cut_off(kSeed);
+  cut_off.set_cut_off(true);
+  for (LeaderFailureDetector* detector : {&connected, &cut_off}) {
+    detector->OnLeader("entry-1");
+    detector->OnNotServing("entry-1");
+    detector->OnReportSent();
+  }
+  int reports = 0;
+  while (!connected.ShouldTakeOver()) {
+    connected.OnReportSent();
+    cut_off.OnReportSent();
+    ++reports;
+  }
+  cr_assert_leq(reports, 1);
+  for (int i = 1; i < LeaderFailureDetector::kCutOffReports; ++i) {
+    cr_assert_not(cut_off.ShouldTakeOver());
+    cut_off.OnReportSent();
+  }
+  cut_off.OnReportSent();
+  cr_assert(cut_off.ShouldTakeOver());
+}
+
 // Guards against waiting for unanswered reports after the leader has answered
 // that it does not serve.
 Test(leader_failure_detector,
