--- a/src/coordination/leader_message.h
+++ b/src/coordination/leader_message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <set>
 #include <string>
 #include <variant>
@@ -25,6 +26,8 @@
   // The services of which the instance reaches no target; see
   // TargetReachability.
   std::set<ServiceName, std::less<>> cut_off_services;
+  // The instance is shutting down, so that none forwards requests to it.
+  bool shutting_down = false;
 };
 
 // Response of the leader to a report.
@@ -35,6 +38,9 @@
   LinkRate fastest_link_mbps = 0;
   // Number of instances; zero when the leader does not know it.
   int instances = 0;
+  // For each service of which the receiver reaches no target: "address:port" of
+  // instances that serve requests for it.
+  std::map<ServiceName, std::vector<std::string>, std::less<>> forwarders;
 };
 
 // Announces completed moves of keys to the other instances, so that the leader
--- a/src/protocol/gateway_headers.cc
+++ b/src/protocol/gateway_headers.cc
@@ -18,6 +18,9 @@
 // Greatest time left that a caller may give; greater values are reduced to it.
 constexpr std::int64_t kMaxTimeLeftMs = 600000;
 
+// Upper bound of the attempts that a forwarded request may have left.
+constexpr int kMaxAttemptsLeft = 100;
+
 // Greatest time of a Retry-After header that is used.
 constexpr double kMaxPauseSeconds = 600;
 
@@ -106,27 +109,38 @@
     }
     info.key = value;
   }
+  int attempts_left = 0;
+  if (ParseNumber(ToStringView(fields[ToBeastView(names.attempts_left)]),
+                  attempts_left) &&
+      attempts_left >= 1 && attempts_left <= kMaxAttemptsLeft) {
+    info.attempts_left = attempts_left;
+  }
   return info;
 }
 
-void AppendTargetRequest(const http::request_header<>& request,
-                         const GatewayHeaderNames& names,
-                         std::string_view target,
-                         Milliseconds time_left,
-                         std::uint64_t body_length,
-                         std::string& out) {
+namespace {
+
+// Appends the head of a request that is sent on, with the field `name`.
+void AppendRequest(const http::request_header<>& request,
+                   const GatewayHeaderNames& names,
+                   std::string_view name,
+                   std::string_view value,
+                   Milliseconds time_left,
+                   std::uint64_t body_length,
+                   std::string& out) {
   out.append(ToStringView(request.method_string())).append(" ");
   out.append(ToStringView(request.target())).append(" HTTP/1.1\r\n");
   AppendEndToEndFields(request, out, [&names](const auto& field) {
-    const std::string_view name = ToStringView(field.name_string());
+    const std::string_view field_name = ToStringView(field.name_string());
     return field.name() == http::field::content_length ||
            field.name() == http::field::expect ||
-           EqualsIgnoringCase(name, names.time_left) ||
-           EqualsIgnoringCase(name, names.expected_target);
+           EqualsIgnoringCase(field_name, names.time_left) ||
+           EqualsIgnoringCase(field_name, names.expected_target) ||
+           EqualsIgnoringCase(field_name, names.attempts_left);
   });
   AppendField(names.time_left, static_cast<std::uint64_t>(time_left.count()),
               out);
-  AppendField(names.expected_target, target, out);
+  AppendField(name, value, out);
   const bool may_have_body = request.method() != http::verb::get &&
                              request.method() != http::verb::head;
   if (body_length > 0 || may_have_body) {
@@ -135,6 +149,28 @@
   out.append("\r\n");
 }
 
+}  // namespace
+
+void AppendTargetRequest(const http::request_header<>& request,
+                         const GatewayHeaderNames& names,
+                         std::string_view target,
+                         Milliseconds time_left,
+                         std::uint64_t body_length,
+                         std::string& out) {
+  AppendRequest(request, names, names.expected_target, target, time_left,
+                body_length, out);
+}
+
+void AppendForwardedRequest(const http::request_header<>& request,
+                            const GatewayHeaderNames& names,
+                            int attempts_left,
+                            Milliseconds time_left,
+                            std::uint64_t body_length,
+                            std::string& out) {
+  AppendRequest(request, names, names.attempts_left,
+                std::to_string(attempts_left), time_left, body_length, out);
+}
+
 TargetResponseInfo ParseTargetResponse(const http::response_header<>& response,
                                        const GatewayHeaderNames& names,
                                        std::string_view request_id) {
@@ -152,6 +188,8 @@
   // Another target may have the address by now.
   info.leaving = response.count(ToBeastView(names.leaving)) > 0 &&
                  response.result() != http::status::misdirected_request;
+  info.target =
+      std::string(ToStringView(response[ToBeastView(names.expected_target)]));
   if (response.result() == http::status::service_unavailable) {
     info.pause = ParseSeconds(ToStringView(response[http::field::retry_after]));
   }
@@ -161,10 +199,12 @@
 void AppendCallerResponse(const http::response_header<>& response,
                           std::uint64_t body_length,
                           bool has_body,
+                          std::string_view dropped_name,
                           std::string& out) {
   AppendStatusLine(response.result_int(), ToStringView(response.reason()), out);
-  AppendEndToEndFields(response, out, [has_body](const auto& field) {
-    return has_body && field.name() == http::field::content_length;
+  AppendEndToEndFields(response, out, [&](const auto& field) {
+    return (has_body && field.name() == http::field::content_length) ||
+           EqualsIgnoringCase(ToStringView(field.name_string()), dropped_name);
   });
   if (has_body) {
     AppendField("Content-Length", body_length, out);
@@ -181,6 +221,7 @@
 void AppendLocalResponse(int status,
                          Milliseconds retry_after,
                          bool keep_alive,
+                         std::string_view more_fields,
                          std::string& out) {
   const auto code = static_cast<unsigned>(status);
   AppendStatusLine(
@@ -193,6 +234,7 @@
     AppendField("Retry-After", std::string_view(seconds.data()), out);
   }
   AppendField("Content-Length", std::uint64_t{0}, out);
+  out.append(more_fields);
   AppendHeadEnd(keep_alive, out);
 }
 
--- a/src/protocol/gateway_headers.h
+++ b/src/protocol/gateway_headers.h
@@ -43,6 +43,10 @@
   // Set by the target, to any value, in all responses once it is leaving. It is
   // to get no new requests.
   std::string_view leaving = "Snipehall-Leaving";
+  // Set by an instance that forwards a request to another one, in place of
+  // `expected_target`: to how many targets the request may still be sent. The
+  // response then has `expected_target` with the ID of the target that made it.
+  std::string_view attempts_left = "Snipehall-Attempts-Left";
 };
 
 // Values from the headers of a caller's request. The view points into the
@@ -54,6 +58,8 @@
   std::optional<Milliseconds> time_left;
   // From 0 to kLastKey; no value if the header is missing or empty.
   std::optional<KeyNumber> key;
+  // Only in a request that another instance forwards; from 1 to 100.
+  std::optional<int> attempts_left;
 };
 
 // Parses the headers of a caller's request. A time left above 10 minutes is
@@ -74,6 +80,15 @@
                          std::uint64_t body_length,
                          std::string& out);
 
+// The same for a request that is forwarded to another instance; see
+// GatewayHeaderNames::attempts_left.
+void AppendForwardedRequest(const boost::beast::http::request_header<>& request,
+                            const GatewayHeaderNames& names,
+                            int attempts_left,
+                            Milliseconds time_left,
+                            std::uint64_t body_length,
+                            std::string& out);
+
 // Values from the head of a target's response.
 struct TargetResponseInfo {
   // The response has a request ID.
@@ -98,6 +113,9 @@
   // How long the target wants no requests from this instance: Retry-After of a
   // response with status 503. No value if it is missing or not a number.
   std::optional<Milliseconds> pause;
+  // ID of the target that made the response; only in a response to a request
+  // that was forwarded to another instance.
+  std::string target;
 };
 
 // Parses the head of a target's response to the request with `request_id`.
@@ -109,10 +127,12 @@
 // Appends the head of the response to a caller, made from the head of the
 // target's response, but for what AppendHeadEnd() adds. `has_body` is false for
 // responses that never have a body, such as those to HEAD; then `body_length`
-// is ignored and the target's Content-Length is copied.
+// is ignored and the target's Content-Length is copied. The header
+// `dropped_name` is left out.
 void AppendCallerResponse(const boost::beast::http::response_header<>& response,
                           std::uint64_t body_length,
                           bool has_body,
+                          std::string_view dropped_name,
                           std::string& out);
 
 // Ends the head of a response to a caller. If `keep_alive` is false, adds
@@ -121,10 +141,11 @@
 
 // Appends a complete response without a body for a request that the gateway
 // answers itself. `retry_after` is sent as Retry-After in seconds with two
-// decimals; zero sends no such header.
+// decimals; zero sends no such header. `more_fields` are complete lines.
 void AppendLocalResponse(int status,
                          Milliseconds retry_after,
                          bool keep_alive,
+                         std::string_view more_fields,
                          std::string& out);
 
 }  // namespace snipehall
--- a/src/protocol/lead_message.capnp
+++ b/src/protocol/lead_message.capnp
@@ -51,6 +51,8 @@
   link @3 :UInt32;
   # The services of which the sender reaches no target.
   cutOff @4 :List(Text);
+  # The sender is shutting down.
+  shuttingDown @5 :Bool;
 }
 
 struct Serving {
@@ -61,6 +63,15 @@
   fastestLink @1 :UInt32;
   # Number of instances, or 0 when the leader does not know it yet.
   instances @2 :UInt32;
+  # For each service of which the receiver reaches no target: instances that serve
+  # requests for it.
+  forwarders @3 :List(Forwarders);
+}
+
+struct Forwarders {
+  service @0 :Text;
+  # "address:port" of each instance.
+  addresses @1 :List(Text);
 }
 
 struct PermitRequest {
--- a/src/protocol/lead_message.capnp.h
+++ b/src/protocol/lead_message.capnp.h
@@ -19,6 +19,7 @@
 CAPNP_DECLARE_SCHEMA(9fed3600d6188081);
 CAPNP_DECLARE_SCHEMA(f22ece0f93db5bf7);
 CAPNP_DECLARE_SCHEMA(afe7dc51da1b3174);
+CAPNP_DECLARE_SCHEMA(d2536888ae269058);
 CAPNP_DECLARE_SCHEMA(e525d6843db21571);
 CAPNP_DECLARE_SCHEMA(eb21fb7be1473318);
 CAPNP_DECLARE_SCHEMA(e4d78d9389e1e5b4);
@@ -85,7 +86,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(afe7dc51da1b3174, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(afe7dc51da1b3174, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Forwarders {
+  Forwarders() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d2536888ae269058, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -445,6 +461,8 @@
   inline bool hasCutOff() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getCutOff() const;
 
+  inline bool getShuttingDown() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -505,6 +523,9 @@
   inline void adoptCutOff(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownCutOff();
 
+  inline bool getShuttingDown();
+  inline void setShuttingDown(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -556,6 +577,9 @@
 
   inline  ::uint32_t getInstances() const;
 
+  inline bool hasForwarders() const;
+  inline  ::capnp::List< ::snipehall::wire::Forwarders,  ::capnp::Kind::STRUCT>::Reader getForwarders() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -597,6 +621,13 @@
   inline  ::uint32_t getInstances();
   inline void setInstances( ::uint32_t value);
 
+  inline bool hasForwarders();
+  inline  ::capnp::List< ::snipehall::wire::Forwarders,  ::capnp::Kind::STRUCT>::Builder getForwarders();
+  inline void setForwarders( ::capnp::List< ::snipehall::wire::Forwarders,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::snipehall::wire::Forwarders,  ::capnp::Kind::STRUCT>::Builder initForwarders(unsigned int size);
+  inline void adoptForwarders(::capnp::Orphan< ::capnp::List< ::snipehall::wire::Forwarders,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::snipehall::wire::Forwarders,  ::capnp::Kind::STRUCT>> disownForwarders();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -623,6 +654,98 @@
 };
 #endif  // !CAPNP_LITE
 
+class Forwarders::Reader {
+public:
+  typedef Forwarders Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasAddresses() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getAddresses() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Forwarders::Builder {
+public:
+  typedef Forwarders Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasAddresses();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getAddresses();
+  inline void setAddresses( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setAddresses(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initAddresses(unsigned int size);
+  inline void adoptAddresses(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownAddresses();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Forwarders::Pipeline {
+public:
+  typedef Forwarders Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class PermitRequest::Reader {
 public:
   typedef PermitRequest Reads;
@@ -2031,6 +2154,20 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool Report::Reader::getShuttingDown() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool Report::Builder::getShuttingDown() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void Report::Builder::setShuttingDown(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Serving::Reader::hasReader() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2093,6 +2230,112 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Serving::Reader::hasForwarders() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Serving::Builder::hasForwarders() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::snipehall::wire::Forwarders,  ::capnp::Kind::STRUCT>::Reader Serving::Reader::getForwarders() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::Forwarders,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::snipehall::wire::Forwarders,  ::capnp::Kind::STRUCT>::Builder Serving::Builder::getForwarders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::Forwarders,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Serving::Builder::setForwarders( ::capnp::List< ::snipehall::wire::Forwarders,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::Forwarders,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::snipehall::wire::Forwarders,  ::capnp::Kind::STRUCT>::Builder Serving::Builder::initForwarders(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::Forwarders,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Serving::Builder::adoptForwarders(
+    ::capnp::Orphan< ::capnp::List< ::snipehall::wire::Forwarders,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::Forwarders,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::snipehall::wire::Forwarders,  ::capnp::Kind::STRUCT>> Serving::Builder::disownForwarders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::Forwarders,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Forwarders::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Forwarders::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Forwarders::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Forwarders::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Forwarders::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Forwarders::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Forwarders::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Forwarders::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Forwarders::Reader::hasAddresses() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Forwarders::Builder::hasAddresses() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Forwarders::Reader::getAddresses() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Forwarders::Builder::getAddresses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Forwarders::Builder::setAddresses( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void Forwarders::Builder::setAddresses(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Forwarders::Builder::initAddresses(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Forwarders::Builder::adoptAddresses(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Forwarders::Builder::disownAddresses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t PermitRequest::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/protocol/leader_message_codec.cc
+++ b/src/protocol/leader_message_codec.cc
@@ -63,9 +63,23 @@
   for (const auto service : reader.getCutOff()) {
     report.cut_off_services.insert(FromText(service));
   }
+  report.shutting_down = reader.getShuttingDown();
   return report;
 }
 
+LeaderServing ReadServing(wire::Serving::Reader reader) {
+  LeaderServing serving{
+      FromText(reader.getReader()), reader.getFastestLink(),
+      static_cast<int>(std::min(reader.getInstances(), kMaxInstances))};
+  for (const auto item : reader.getForwarders()) {
+    auto& addresses = serving.forwarders[FromText(item.getService())];
+    for (const auto address : item.getAddresses()) {
+      addresses.push_back(FromText(address));
+    }
+  }
+  return serving;
+}
+
 // Writes the content of a message into `root`.
 struct ContentWriter {
   wire::LeadMessage::Builder root;
@@ -82,12 +96,24 @@
     for (const ServiceName& service : report.cut_off_services) {
       services.set(index++, ToText(service));
     }
+    builder.setShuttingDown(report.shutting_down);
   }
   void operator()(const LeaderServing& serving) {
     auto builder = root.initServing();
     builder.setReader(ToText(serving.relay));
     builder.setFastestLink(serving.fastest_link_mbps);
     builder.setInstances(static_cast<std::uint32_t>(serving.instances));
+    auto forwarders = builder.initForwarders(
+        static_cast<unsigned>(serving.forwarders.size()));
+    unsigned index = 0;
+    for (const auto& [service, addresses] : serving.forwarders) {
+      auto item = forwarders[index++];
+      item.setService(ToText(service));
+      auto list = item.initAddresses(static_cast<unsigned>(addresses.size()));
+      for (unsigned i = 0; i < list.size(); ++i) {
+        list.set(i, ToText(addresses[i]));
+      }
+    }
   }
   void operator()(const LeaderMovesCompleted& completed) {
     auto fencing_tokens = root.initSettled(
@@ -154,11 +180,7 @@
       message.content = ReadReport(reader.getReport());
       return message;
     case wire::LeadMessage::SERVING:
-      message.content = LeaderServing{
-          FromText(reader.getServing().getReader()),
-          reader.getServing().getFastestLink(),
-          static_cast<int>(
-              std::min(reader.getServing().getInstances(), kMaxInstances))};
+      message.content = ReadServing(reader.getServing());
       return message;
     case wire::LeadMessage::SETTLED: {
       LeaderMovesCompleted completed;
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -71,12 +72,14 @@
   // before io_context::run(). Fails when an address is malformed or cannot be
   // bound. The event loop stops when the shutdown is complete.
   Result<void> Start() {
-    BOOST_OUTCOME_TRY(
-        m_server,
-        GatewayServer::Create(
-            m_context, m_settings,
-            [this] { return !m_context.draining && m_control.IsReady(); },
-            [this] { m_control.UpdateMetrics(); }));
+    BOOST_OUTCOME_TRY(m_server, GatewayServer::Create(
+                                    m_context, m_settings,
+                                    [this] {
+                                      return !m_context.draining &&
+                                             m_control.IsReady() &&
+                                             !IsServedByOthers();
+                                    },
+                                    [this] { m_control.UpdateMetrics(); }));
     BOOST_OUTCOME_TRY(m_link.Start(m_settings.peer_address));
     m_context.on_target_unreachable = [this](std::string_view target) {
       m_control.OnTargetUnreachable(target);
@@ -110,6 +113,11 @@
                                     std::string_view error) {
       m_log.Write("exception", {{"id", request_id}, {"error", error}});
     };
+    m_control.set_on_forwarded(
+        m_context.names.attempts_left,
+        [this](std::shared_ptr<ByteStream> stream) {
+          m_server->StartInstanceSession(std::move(stream));
+        });
     WaitForSignal();
     m_log.Write("start", {{"zone", m_settings.zone}});
     m_server->Start();
@@ -244,6 +252,21 @@
     m_control.OnReachabilityChanged();
   }
 
+  // Whether this instance reaches no target of any service while others do, so
+  // that callers had better connect to them.
+  bool IsServedByOthers() const {
+    if (m_cut_off_services.empty() || !m_state.policy()) {
+      return false;
+    }
+    const auto& services = m_state.policy()->services();
+    return std::all_of(
+        services.begin(), services.end(), [this](const auto& item) {
+          const auto* forwarders = m_state.FindForwarders(item.first);
+          return m_cut_off_services.contains(item.first) &&
+                 forwarders != nullptr && !forwarders->empty();
+        });
+  }
+
   void RecordEventLoopDelay() {
     const auto delay = Now() - m_report_timer.expiry();
     m_metrics.RecordEventLoopDelay(
--- a/src/transport/gateway/gateway_control.h
+++ b/src/transport/gateway/gateway_control.h
@@ -17,6 +17,7 @@
 #include <variant>
 #include <vector>
 
+#include "coordination/forwarder_planner.h"
 #include "coordination/instance_counter.h"
 #include "coordination/key_leader.h"
 #include "coordination/key_topic_cursor.h"
@@ -100,6 +101,7 @@
         m_instance(settings.instance),
         m_leader_failure_detector(seed),
         m_key_leader(settings.instance, settings.peer_address),
+        m_forwarder_planner(seed),
         m_append_log(platform.NewLog()),
         m_leader_timer(m_executor),
         m_relay_selection(std::make_shared<RelaySelection>()),
@@ -188,6 +190,13 @@
       // The leader reads the log in any case, so it is the relay of its zone.
       m_relay_planner.OnReport(now, m_zone, m_peer_address, m_link_mbps);
       m_instances.OnReport(now, m_instance);
+      const auto cut_off_services = m_services.CutOffServices();
+      m_forwarder_planner.OnReport(now, m_peer_address, m_zone,
+                                   cut_off_services);
+      if (!cut_off_services.empty()) {
+        m_state.SetForwarders(
+            ChooseForwarders(now, m_peer_address, m_zone, cut_off_services));
+      }
       return;
     }
     if (!m_has_keys || !HasKeyedService()) {
@@ -201,8 +210,9 @@
     for (KeyLoadReport& report : reports) {
       m_link.Send(
           m_state.keys().leader_address,
-          {m_instance, LeaderReport{m_zone, relay_address, std::move(report),
-                                    m_link_mbps, m_services.CutOffServices()}});
+          {m_instance,
+           LeaderReport{m_zone, relay_address, std::move(report), m_link_mbps,
+                        m_services.CutOffServices(), m_draining}});
     }
     ReportPoisonRequests(now);
     m_leader_failure_detector.OnReportSent();
@@ -212,13 +222,31 @@
   }
 
   // Call when the services have changed of which this instance reaches no
-  // target; see TargetReachability. The leader is told at once.
+  // target; see TargetReachability. The leader is told at once, and names
+  // instances that serve requests for them.
   void OnReachabilityChanged() {
+    const auto cut_off_services = m_services.CutOffServices();
     m_leader_failure_detector.set_cut_off(
-        !CutOffKeyedServices(m_services.CutOffServices()).empty());
+        !CutOffKeyedServices(cut_off_services).empty());
+    Forwarders forwarders;
+    if (!HasKeyedService()) {
+      // There is no leader.
+      for (const ServiceName& service : cut_off_services) {
+        forwarders.emplace(service, std::vector<std::string>());
+      }
+    }
+    m_state.SetForwarders(std::move(forwarders));
     ReportLoad({});
   }
 
+  // Calls `on_forwarded` with the connections on which other instances forward
+  // requests, which have the header `name`.
+  void set_on_forwarded(
+      std::string_view name,
+      std::function<void(std::shared_ptr<ByteStream>)> on_forwarded) {
+    m_relay_server.set_on_forwarded(name, std::move(on_forwarded));
+  }
+
   // Number of instances, this one included; nothing while it is not known.
   std::optional<int> InstanceCount() const { return m_instances.Count(Now()); }
 
@@ -318,6 +346,8 @@
 
  private:
   using Feed = TopicFollower<typename Platform::Log>;
+  using Forwarders =
+      std::map<ServiceName, std::vector<std::string>, std::less<>>;
   using Orders = typename decltype(std::declval<Platform>().NewKeyOrderClient(
       std::declval<std::string>()))::element_type;
 
@@ -383,6 +413,9 @@
         // This instance does not know yet whether it is the leader.
         return;
       }
+      if (m_key_leader.IsNamedLeader()) {
+        RecordForwarder(now, sender, *report);
+      }
       // Another instance shall replace a leader that cannot read the log or
       // shuts down, and the sender one whose orders do not arrive or that has a
       // much slower network link.
@@ -398,9 +431,13 @@
       const std::string relay = m_relay_planner.OnReport(
           now, report->zone, report->relay_address, report->link_mbps);
       m_instances.OnReport(now, message.from);
-      m_link.Send(sender, {m_instance,
-                           LeaderServing{relay, m_relay_planner.fastest_link(),
-                                         m_instances.Count(now).value_or(0)}});
+      m_link.Send(
+          sender,
+          {m_instance,
+           LeaderServing{relay, m_relay_planner.fastest_link(),
+                         m_instances.Count(now).value_or(0),
+                         ChooseForwarders(now, ToAddress(sender), report->zone,
+                                          report->cut_off_services)}});
       m_reporters.insert_or_assign(sender, now);
       std::vector<FencingToken> completed = m_key_leader.CompletedMoves();
       if (!completed.empty()) {
@@ -419,6 +456,9 @@
           message.from,
           RelayPlanner::IsMuchFaster(serving->fastest_link_mbps, m_link_mbps));
       SetRelay(serving->relay);
+      if (!serving->forwarders.empty()) {
+        m_state.SetForwarders(serving->forwarders);
+      }
       if (serving->instances > 0) {
         m_instances.OnLeaderCount(serving->instances);
       }
@@ -480,6 +520,38 @@
     }
   }
 
+  static std::string ToAddress(const LeaderLink::Endpoint& endpoint) {
+    return endpoint.address().to_string() + ":" +
+           std::to_string(endpoint.port());
+  }
+
+  // Other instances listen at the address from which they send messages.
+  void RecordForwarder(MonotonicTime now,
+                       const LeaderLink::Endpoint& sender,
+                       const LeaderReport& report) {
+    if (report.shutting_down) {
+      m_forwarder_planner.Remove(ToAddress(sender));
+    } else {
+      m_forwarder_planner.OnReport(now, ToAddress(sender), report.zone,
+                                   report.cut_off_services);
+    }
+  }
+
+  // The instances that serve requests for `services` in the place of the one at
+  // `address` in `zone`.
+  Forwarders ChooseForwarders(
+      MonotonicTime now,
+      std::string_view address,
+      std::string_view zone,
+      const std::set<ServiceName, std::less<>>& services) {
+    Forwarders forwarders;
+    for (const ServiceName& service : services) {
+      forwarders.emplace(
+          service, m_forwarder_planner.Choose(now, address, zone, service));
+    }
+    return forwarders;
+  }
+
   // The keyed ones of `services`.
   std::set<ServiceName, std::less<>> CutOffKeyedServices(
       const std::set<ServiceName, std::less<>>& services) const {
@@ -1061,6 +1133,7 @@
   LeaderFailureDetector m_leader_failure_detector;
   TargetRegistry m_registry;
   KeyLeader m_key_leader;
+  ForwarderPlanner m_forwarder_planner;
   std::shared_ptr<typename Platform::Log> m_append_log;
   // Idle clients by target address.
   std::map<std::string, std::vector<std::shared_ptr<Orders>>> m_order_clients;
--- a/src/transport/gateway/gateway_router.cc
+++ b/src/transport/gateway/gateway_router.cc
@@ -16,6 +16,10 @@
 // are; but at least kMinConnections.
 constexpr int kMaxInstances = 16;
 constexpr int kMinConnections = 4;
+// Maximum number of connections to another instance for forwarded requests.
+constexpr int kMaxForwardConnections = 256;
+// Maximum number of instances to which a request is forwarded.
+constexpr std::size_t kMaxForwarders = 2;
 // Failed connection attempts after which a request is answered with 503.
 constexpr int kMaxFailedConnects = 3;
 // A request waits for an owner of its key for at most the route's latency
@@ -50,8 +54,12 @@
   } else if (m_keyed && !m_request.info.key) {
     action = FinishWithError(400, "no key");
   } else {
-    m_service->retry_budget.OnRequest(now);
-    if (m_keyed) {
+    // The instance that forwards a request has counted it.
+    const bool forwarded = m_request.info.attempts_left.has_value();
+    if (!forwarded) {
+      m_service->retry_budget.OnRequest(now);
+    }
+    if (m_keyed && !forwarded) {
       m_context.key_loads.OnRequest(name, *m_request.info.key);
     }
   }
@@ -76,6 +84,10 @@
                                 kBusyRetryAfter);
   }
   Action action = Action::kRetry;
+  if (m_service->reachability.cut_off()) {
+    action = co_await Forward();
+    co_return action;
+  }
   if (!ChooseTarget(Now())) {
     const std::string_view cause = m_keyed ? "no owner" : "no target";
     action = co_await WaitForStateChange(cause, m_context.state.version());
@@ -102,6 +114,112 @@
   co_return action;
 }
 
+Task<GatewayRouter::Action> GatewayRouter::Forward() {
+  constexpr std::string_view kCause = "no target can be reached";
+  if (m_request.info.attempts_left) {
+    // A request is forwarded once. Without Retry-After, the sender tries
+    // another instance.
+    co_return FinishUnavailable(kCause, Milliseconds(0));
+  }
+  const std::vector<std::string>* forwarders =
+      m_context.state.FindForwarders(m_service->name);
+  Action action = Action::kRetry;
+  if (forwarders == nullptr) {
+    action = co_await WaitForStateChange(kCause, m_context.state.version());
+    co_return action;
+  }
+  const auto next = std::find_if(
+      forwarders->begin(), forwarders->end(), [this](const auto& address) {
+        return std::find(m_tried_forwarders.begin(), m_tried_forwarders.end(),
+                         address) == m_tried_forwarders.end();
+      });
+  if (next == forwarders->end() ||
+      m_tried_forwarders.size() >= kMaxForwarders ||
+      m_attempts >= max_attempts()) {
+    co_return FinishUnavailable(kCause, kOwnerRetryAfter);
+  }
+  action = co_await ForwardTo(*next);
+  co_return action;
+}
+
+Task<GatewayRouter::Action> GatewayRouter::ForwardTo(std::string address) {
+  const std::shared_ptr<TargetPool> pool = m_context.pools.Find(address);
+  if (!pool) {
+    m_tried_forwarders.push_back(std::move(address));
+    co_return Action::kRetry;
+  }
+  pool->set_max_connections(kMaxForwardConnections);
+  const bool has_id = !m_request.info.request_id.empty();
+  std::shared_ptr<ByteStream> stream = has_id ? pool->TakeIdle() : nullptr;
+  const bool reused = stream != nullptr;
+  if (!reused) {
+    stream = pool->NewStream(m_context.executor);
+  }
+  TargetPool::PooledConnection lease(pool, stream);
+  if (!reused) {
+    const bool connected = co_await OpenConnection(*pool, *stream);
+    if (m_request.CheckInterrupted()) {
+      co_return HandleInterruption();
+    }
+    if (!connected) {
+      m_tried_forwarders.push_back(std::move(address));
+      co_return Action::kRetry;
+    }
+  }
+  m_target = {};
+  m_sent_after =
+      std::chrono::duration_cast<Milliseconds>(Now() - m_request.received_at);
+  TargetExchange exchange(m_request, *stream, m_context.names,
+                          m_context.response_buffers, reused);
+  const TargetExchangeResult end = co_await exchange.RunForwarded(
+      max_attempts() - m_attempts, m_request.deadline);
+  stream.reset();
+  if (exchange.reusable() && has_id) {
+    lease.Reuse();
+  }
+  switch (end) {
+    case TargetExchangeResult::kAnswered:
+      co_return HandleForwardedResponse(exchange);
+    case TargetExchangeResult::kRefused:
+      m_context.metrics.IncrementEvent("forward_refused");
+      m_tried_forwarders.push_back(std::move(address));
+      if (exchange.info().pause) {
+        co_return FinishUnavailable("refused by another instance",
+                                    *exchange.info().pause);
+      }
+      co_return Action::kRetry;
+    case TargetExchangeResult::kNotSent:
+      // The instance had closed the idle connection in the meantime.
+      co_return Action::kRetry;
+    case TargetExchangeResult::kLost:
+      m_context.metrics.IncrementEvent("forward_lost");
+      m_may_have_run = true;
+      co_return FinishWithError(502, "answer lost by another instance");
+    case TargetExchangeResult::kInterrupted:
+      m_may_have_run = m_may_have_run || exchange.sent();
+      break;
+  }
+  co_return HandleInterruption();
+}
+
+GatewayRouter::Action GatewayRouter::HandleForwardedResponse(
+    TargetExchange& exchange) {
+  m_context.metrics.IncrementEvent("forwarded");
+  if (exchange.info().target.empty()) {
+    // The other instance has generated the response.
+    m_may_have_run = true;
+    return FinishWithError(static_cast<int>(exchange.status()),
+                           "failed at another instance");
+  }
+  m_target.id = exchange.info().target;
+  const auto listed = m_context.state.targets().find(m_target.id);
+  if (listed != m_context.state.targets().end()) {
+    m_target_start_ms = listed->second.start_time_ms;
+    RecordTargetState(exchange.info());
+  }
+  return AcceptResponse(exchange);
+}
+
 RequestDigest GatewayRouter::digest() const {
   return DigestRequest(m_request.parser->get(), m_context.names,
                        m_request.body);
@@ -342,30 +460,43 @@
   }
 }
 
-Task<bool> GatewayRouter::Connect(TargetPool& pool, ByteStream& stream) {
+Task<bool> GatewayRouter::OpenConnection(TargetPool& pool, ByteStream& stream) {
   m_request.target_stream = &stream;
-  const MonotonicTime began_at = Now();
-  m_request.SetStepDeadline(began_at + kConnectTimeout);
+  m_request.SetStepDeadline(Now() + kConnectTimeout);
   const auto [error] =
       co_await stream.socket().async_connect(pool.endpoint(), kAsTuple);
   m_request.target_stream = nullptr;
   const bool expired = m_request.step_expired();
   m_request.ClearStepDeadline();
-  if (m_keyed && (error || expired) && !m_request.interrupted()) {
-    m_context.on_target_unreachable(m_target.id);
-  }
   if (error || expired) {
     m_context.metrics.IncrementEvent("connect_failed");
   }
-  if (!error && !expired) {
+  co_return !error && !expired;
+}
+
+Task<bool> GatewayRouter::Connect(TargetPool& pool, ByteStream& stream) {
+  const MonotonicTime began_at = Now();
+  const bool connected = co_await OpenConnection(pool, stream);
+  if (connected) {
     m_service->reachability.OnConnected(Now());
-  } else if (!m_request.interrupted()) {
+    co_return !m_request.interrupted();
+  }
+  if (!m_request.interrupted()) {
+    if (m_keyed) {
+      m_context.on_target_unreachable(m_target.id);
+    }
     m_service->reachability.OnConnectFailed(began_at);
     if (m_context.on_connect_failed) {
       m_context.on_connect_failed();
     }
   }
-  co_return !error && !expired && !m_request.interrupted();
+  co_return false;
+}
+
+int GatewayRouter::max_attempts() const {
+  return std::min(
+      m_request.route->max_attempts,
+      m_request.info.attempts_left.value_or(m_request.route->max_attempts));
 }
 
 int GatewayRouter::ConnectionLimit() const {
@@ -375,8 +506,7 @@
 }
 
 bool GatewayRouter::TryTakeRetry(MonotonicTime now) {
-  return m_attempts < m_request.route->max_attempts &&
-         m_service->retry_budget.TryTake(now);
+  return m_attempts < max_attempts() && m_service->retry_budget.TryTake(now);
 }
 
 Task<GatewayRouter::Action> GatewayRouter::HandleRefusal(
@@ -419,8 +549,9 @@
   m_outcome.status = static_cast<int>(exchange.status());
   m_outcome.verdict = Verdict::kRan;
   m_outcome.cause = "answered";
+  m_outcome.target = m_target.id;
   AppendCallerResponse(exchange.response(), exchange.body().size(), has_body,
-                       m_outcome.head);
+                       m_context.names.expected_target, m_outcome.head);
   m_outcome.body = exchange.TakeBody();
   m_outcome.body_memory = exchange.TakeBodyMemory();
   return Action::kFinish;
--- a/src/transport/gateway/gateway_router.h
+++ b/src/transport/gateway/gateway_router.h
@@ -26,6 +26,8 @@
   std::string body;
   // Memory of `body`.
   BufferBudget::Reservation body_memory;
+  // Target that made the response; empty when the gateway generates it.
+  TargetId target;
 };
 
 // Routes one request: finds the owner of its key, or chooses a target by load,
@@ -77,10 +79,22 @@
   // What follows if `m_target` takes no requests for `wait`: another target, or
   // a refusal with `cause`.
   Action TryOtherTarget(std::string_view cause, Milliseconds wait);
+  // Sends the request to another instance, because this one reaches no target
+  // of the service; waits until such an instance is known.
+  Task<Action> Forward();
+  // Sends the request to the instance at `address`, which serves it.
+  Task<Action> ForwardTo(std::string address);
+  // What follows after another instance has answered the forwarded request.
+  Action HandleForwardedResponse(TargetExchange& exchange);
   // Connects to `m_target` if needed and sends the request once.
   Task<Action> RunAttempt();
-  // False when the connection failed or the request was interrupted.
+  // Connects to `m_target`. False when the connection failed or the request was
+  // interrupted.
   Task<bool> Connect(TargetPool& pool, ByteStream& stream);
+  // The same for any address, without recording the result.
+  Task<bool> OpenConnection(TargetPool& pool, ByteStream& stream);
+  // To how many targets the request may be sent.
+  int max_attempts() const;
   // Updates what is known of the target after a response: its rate limit, the
   // pause that it asks for, and whether it is leaving.
   void RecordTargetState(const TargetResponseInfo& info);
@@ -143,6 +157,8 @@
   // Targets that refused the request, lost it, could not be reached or are at
   // their rate limits.
   std::vector<TargetId> m_tried_targets;
+  // Instances that could not serve the forwarded request.
+  std::vector<std::string> m_tried_forwarders;
   // Time until a target may be sent the request within its rate limit.
   Milliseconds m_limit_retry_after{0};
   // How often the request was sent.
--- a/src/transport/gateway/gateway_server.cc
+++ b/src/transport/gateway/gateway_server.cc
@@ -76,6 +76,14 @@
       boost::asio::detached);
 }
 
+void GatewayServer::StartInstanceSession(std::shared_ptr<ByteStream> stream) {
+  m_context.metrics.IncrementEvent("instance_connected");
+  auto session = std::make_shared<GatewaySession>(m_context, std::move(stream));
+  boost::asio::co_spawn(
+      m_context.executor, [session] { return session->Run(); },
+      boost::asio::detached);
+}
+
 Task<void> GatewayServer::ServeStatus(Socket socket) {
   const auto stream = std::make_shared<ByteStream>(std::move(socket));
   const auto timer = std::make_shared<DeadlineTimer>(
--- a/src/transport/gateway/gateway_server.h
+++ b/src/transport/gateway/gateway_server.h
@@ -27,6 +27,9 @@
   // Starts to accept connections on both listeners.
   void Start();
 
+  // Serves the requests that another instance forwards on this connection.
+  void StartInstanceSession(std::shared_ptr<ByteStream> stream);
+
   // "address:port" on which callers are accepted; differs from the settings
   // when these leave the choice of the port to the system.
   std::string caller_address() const;
--- a/src/transport/gateway/gateway_session.cc
+++ b/src/transport/gateway/gateway_session.cc
@@ -25,6 +25,8 @@
 // Minimum time for which a connection has been idle, or open without a request,
 // when it is closed at shutdown.
 constexpr Milliseconds kShutdownIdleTime{200};
+// An instance that forwards a request adds headers of up to this size.
+constexpr std::size_t kMaxInstanceFieldBytes = 256;
 // Retry-After while the instance has no configuration.
 constexpr Milliseconds kNotReadyRetryAfter{300};
 constexpr std::string_view kContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -47,8 +49,15 @@
 }  // namespace
 
 GatewaySession::GatewaySession(GatewayContext& context, Socket socket)
+    : GatewaySession(context, std::make_shared<ByteStream>(std::move(socket))) {
+  m_from_instance = false;
+}
+
+GatewaySession::GatewaySession(GatewayContext& context,
+                               std::shared_ptr<ByteStream> stream)
     : m_context(context),
-      m_stream(std::make_shared<ByteStream>(std::move(socket))),
+      m_stream(std::move(stream)),
+      m_from_instance(true),
       m_event(context.executor),
       m_read_timer(
           std::make_shared<DeadlineTimer>(context.executor,
@@ -226,8 +235,9 @@
     m_stream->ShrinkIfIdle();
   }
   const RequestLimits bounds = limits();
-  const std::size_t max_size =
-      std::min(bounds.max_head_bytes, ByteStream::kMaxCapacityBytes);
+  const std::size_t max_size = std::min(
+      bounds.max_head_bytes + (m_from_instance ? kMaxInstanceFieldBytes : 0),
+      ByteStream::kMaxCapacityBytes);
   m_read_expired = false;
   while (!ending()) {
     const std::string_view input = m_stream->data();
@@ -291,6 +301,9 @@
     return false;
   }
   request.info = info.value();
+  if (!m_from_instance) {
+    request.info.attempts_left.reset();
+  }
   request.keep_alive = parser.get().keep_alive();
   return true;
 }
@@ -443,9 +456,10 @@
   const bool keep_alive = exchange.request.keep_alive;
   std::string head;
   if (outcome.head.empty()) {
-    AppendLocalResponse(outcome.status, outcome.retry_after, keep_alive, head);
+    AppendLocalResponse(outcome.status, outcome.retry_after, keep_alive,
+                        FieldsForInstance(exchange), head);
   } else {
-    head = outcome.head;
+    head = outcome.head + FieldsForInstance(exchange);
     AppendHeadEnd(keep_alive, head);
   }
   m_close_announced = !keep_alive;
@@ -458,6 +472,26 @@
   co_return !error;
 }
 
+std::string GatewaySession::FieldsForInstance(const Exchange& exchange) const {
+  std::string fields;
+  if (!m_from_instance) {
+    return fields;
+  }
+  const GatewayOutcome& outcome = exchange.outcome;
+  if (!outcome.head.empty()) {
+    AppendField(m_context.names.expected_target, outcome.target, fields);
+    return fields;
+  }
+  const std::string_view request_id = exchange.request.info.request_id;
+  if (!request_id.empty()) {
+    AppendField(m_context.names.request_id, request_id, fields);
+  }
+  if (outcome.verdict == Verdict::kNotRun) {
+    AppendField(m_context.names.not_run, std::string_view("1"), fields);
+  }
+  return fields;
+}
+
 Task<void> GatewaySession::CloseGracefully() {
   m_stream->ShutdownSend();
   m_read_expired = false;
--- a/src/transport/gateway/gateway_session.h
+++ b/src/transport/gateway/gateway_session.h
@@ -24,6 +24,9 @@
   static constexpr int kMaxPipelinedRequests = 16;
 
   GatewaySession(GatewayContext& context, Socket socket);
+  // A connection of another instance, which forwards requests. `stream` may
+  // have input already.
+  GatewaySession(GatewayContext& context, std::shared_ptr<ByteStream> stream);
   ~GatewaySession();
   GatewaySession(const GatewaySession&) = delete;
   GatewaySession& operator=(const GatewaySession&) = delete;
@@ -79,6 +82,8 @@
   Task<void> WriteResponses();
   // False when the connection failed.
   Task<bool> WriteResponse(Exchange& exchange);
+  // Header lines that only other instances get.
+  std::string FieldsForInstance(const Exchange& exchange) const;
   // Makes `outcome` the response of `exchange`, which is the last one read.
   static bool Reject(Exchange& exchange, int status, std::string_view cause);
   void RecordOutcome(const GatewayRouter& router, const Exchange& exchange);
@@ -101,6 +106,7 @@
 
   GatewayContext& m_context;
   std::shared_ptr<ByteStream> m_stream;
+  bool m_from_instance = false;
   // Notified of input, of responses that have been sent, and of expired time
   // limits. The coroutine that reads requests waits for it.
   AsyncEvent m_event;
--- a/src/transport/gateway/relay_server.cc
+++ b/src/transport/gateway/relay_server.cc
@@ -159,6 +159,13 @@
     if (error) {
       break;
     }
+    if (m_on_forwarded && stream->data().substr(0, size).find(
+                              m_forwarded_field) != std::string_view::npos) {
+      timer->Close();
+      m_streams.erase(stream.get());
+      m_on_forwarded(stream);
+      co_return;
+    }
     const std::optional<RecordQuery> query =
         ParseQuery(stream->data().substr(0, size));
     stream->Consume(size);
--- a/src/transport/gateway/relay_server.h
+++ b/src/transport/gateway/relay_server.h
@@ -37,6 +37,15 @@
   // malformed or cannot be bound.
   Result<void> Start(const std::string& address);
 
+  // Passes the connections of other instances to `on_forwarded` whose first
+  // request has the header `name`; that request is still unread.
+  void set_on_forwarded(
+      std::string_view name,
+      std::function<void(std::shared_ptr<ByteStream>)> on_forwarded) {
+    m_forwarded_field = "\r\n" + std::string(name) + ":";
+    m_on_forwarded = std::move(on_forwarded);
+  }
+
   // Wakes the waiting queries; call it when a topic has new records.
   void Notify();
   // Closes the listener and cancels the operations of all connections.
@@ -72,6 +81,8 @@
   Executor m_executor;
   Acceptor m_acceptor;
   Lookup m_lookup;
+  std::string m_forwarded_field;
+  std::function<void(std::shared_ptr<ByteStream>)> m_on_forwarded;
   // Responses with records by the query's topic and position, where a snapshot
   // has no position. Valid while the topic ends at `end`.
   struct EncodedPage {
--- a/src/transport/gateway/routing_state.h
+++ b/src/transport/gateway/routing_state.h
@@ -1,9 +1,13 @@
 #pragma once
 
 #include <list>
+#include <map>
 #include <memory>
 #include <set>
 #include <span>
+#include <string>
+#include <string_view>
+#include <vector>
 
 #include "state/key_table.h"
 #include "state/route_policy.h"
@@ -41,6 +45,13 @@
   const std::set<FencingToken>& completed_moves() const {
     return m_completed_moves;
   }
+  // "address:port" of instances that serve requests for `service` while this
+  // one reaches none of its targets; null if they are not known yet.
+  const std::vector<std::string>* FindForwarders(
+      std::string_view service) const {
+    const auto found = m_forwarders.find(service);
+    return found == m_forwarders.end() ? nullptr : &found->second;
+  }
   // Incremented whenever the subscribers are notified.
   std::uint64_t version() const { return m_version; }
 
@@ -66,6 +77,12 @@
     ApplyCompletedMoves();
     NotifySubscribers();
   }
+  // Replaces the forwarders of all services.
+  void SetForwarders(
+      std::map<ServiceName, std::vector<std::string>, std::less<>> forwarders) {
+    m_forwarders = std::move(forwarders);
+    NotifySubscribers();
+  }
   // Marks the ranges with these fencing tokens as no longer moving, before a
   // key table shows it. Tokens that the known table does not contain are kept
   // for the next call of SetKeys(), and dropped when that table lacks them as
@@ -102,6 +119,7 @@
   TargetList m_targets;
   KeyTable m_keys;
   std::set<FencingToken> m_completed_moves;
+  std::map<ServiceName, std::vector<std::string>, std::less<>> m_forwarders;
   std::uint64_t m_version = 0;
   std::list<AsyncEvent*> m_subscribers;
 };
--- a/src/transport/gateway/target_exchange.cc
+++ b/src/transport/gateway/target_exchange.cc
@@ -25,6 +25,12 @@
   return input.substr(0, size) == kBegin.substr(0, size);
 }
 
+Milliseconds TimeLeft(MonotonicTime deadline) {
+  return std::max(Milliseconds(1),
+                  std::chrono::duration_cast<Milliseconds>(
+                      deadline - std::chrono::steady_clock::now()));
+}
+
 error_code Aborted() {
   return boost::asio::error::operation_aborted;
 }
@@ -33,6 +39,22 @@
 
 Task<TargetExchangeResult> TargetExchange::Run(std::string_view target,
                                                MonotonicTime deadline) {
+  std::string head;
+  AppendTargetRequest(m_request.parser->get(), m_names, target,
+                      TimeLeft(deadline), m_request.body.size(), head);
+  return RunWithHead(std::move(head));
+}
+
+Task<TargetExchangeResult> TargetExchange::RunForwarded(
+    int attempts_left,
+    MonotonicTime deadline) {
+  std::string head;
+  AppendForwardedRequest(m_request.parser->get(), m_names, attempts_left,
+                         TimeLeft(deadline), m_request.body.size(), head);
+  return RunWithHead(std::move(head));
+}
+
+Task<TargetExchangeResult> TargetExchange::RunWithHead(std::string head) {
   m_request.target_stream = &m_stream;
   m_stream.set_on_input([this] {
     // The target answered or closed the connection before the whole request was
@@ -41,16 +63,15 @@
       m_stream.Cancel();
     }
   });
-  const TargetExchangeResult end = co_await Exchange(target, deadline);
+  const TargetExchangeResult end = co_await Exchange(head);
   m_request.target_stream = nullptr;
   m_stream.set_on_input(nullptr);
   co_return end;
 }
 
-Task<TargetExchangeResult> TargetExchange::Exchange(std::string_view target,
-                                                    MonotonicTime deadline) {
+Task<TargetExchangeResult> TargetExchange::Exchange(const std::string& head) {
   m_sending = true;
-  const error_code send_error = co_await Send(target, deadline);
+  const error_code send_error = co_await Send(head);
   m_sending = false;
   m_request_sent = !send_error;
   if (m_request.wait_cancelled()) {
@@ -95,14 +116,7 @@
                                     : TargetExchangeResult::kLost;
 }
 
-Task<error_code> TargetExchange::Send(std::string_view target,
-                                      MonotonicTime deadline) {
-  const Milliseconds time_left = std::max(
-      Milliseconds(1), std::chrono::duration_cast<Milliseconds>(
-                           deadline - std::chrono::steady_clock::now()));
-  std::string head;
-  AppendTargetRequest(m_request.parser->get(), m_names, target, time_left,
-                      m_request.body.size(), head);
+Task<error_code> TargetExchange::Send(const std::string& head) {
   m_stream.StartRead();
   if (m_stream.input_error()) {
     co_return m_stream.input_error();
--- a/src/transport/gateway/target_exchange.h
+++ b/src/transport/gateway/target_exchange.h
@@ -61,6 +61,11 @@
   // itself is enforced by GatewayRequest. Call once.
   Task<TargetExchangeResult> Run(std::string_view target,
                                  MonotonicTime deadline);
+  // The same with another instance in the place of the target, which may send
+  // the request to `attempts_left` targets. kRefused then means that no target
+  // has run it.
+  Task<TargetExchangeResult> RunForwarded(int attempts_left,
+                                          MonotonicTime deadline);
 
   // Whether any byte of the request may have reached the target.
   bool sent() const { return m_bytes_written > 0; }
@@ -91,9 +96,10 @@
   using Parser = boost::beast::http::response_parser<ViewBody>;
   using IoStatus = boost::system::error_code;
 
-  Task<TargetExchangeResult> Exchange(std::string_view target,
-                                      MonotonicTime deadline);
-  Task<IoStatus> Send(std::string_view target, MonotonicTime deadline);
+  // `head` is the head of the request to send.
+  Task<TargetExchangeResult> RunWithHead(std::string head);
+  Task<TargetExchangeResult> Exchange(const std::string& head);
+  Task<IoStatus> Send(const std::string& head);
   Task<IoStatus> ReceiveResponse();
   Task<IoStatus> ReceiveHead();
   Task<IoStatus> ReceiveBody();
--- a/tests/unit/support/gateway_fixture.h
+++ b/tests/unit/support/gateway_fixture.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <future>
 #include <memory>
@@ -107,6 +108,23 @@
     return result.get();
   }
 
+  // A connection of another instance, which forwards requests.
+  RawSocket ConnectAsInstance() {
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::acceptor acceptor(
+        io, {boost::asio::ip::address_v4::loopback(), 0});
+    RawSocket instance = RawSocket::Connect(
+        "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
+    boost::asio::ip::tcp::socket accepted = acceptor.accept();
+    const int descriptor = accepted.release();
+    Run([&] {
+      m_server->StartInstanceSession(std::make_shared<ByteStream>(
+          Socket(m_io.get_executor(), boost::asio::ip::tcp::v4(), descriptor)));
+      return true;
+    });
+    return instance;
+  }
+
   GatewayServer& server() { return *m_server; }
   GatewayContext& context() { return m_context; }
 
