--- a/src/coordination/target_registry.cc
+++ b/src/coordination/target_registry.cc
@@ -119,6 +119,13 @@
   m_changed = true;
 }
 
+void TargetRegistry::OnUnusableEntry(MonotonicTime now, std::string_view id) {
+  const auto known = m_targets.find(id);
+  if (known != m_targets.end()) {
+    m_missing_until.emplace(known->first, now + kReturnTimeout);
+  }
+}
+
 void TargetRegistry::Expire(MonotonicTime now) {
   std::erase_if(m_missing_until, [this, now](const auto& item) {
     if (now < item.second) {
--- a/src/coordination/target_registry.h
+++ b/src/coordination/target_registry.h
@@ -46,6 +46,11 @@
   // from then on. Ignored if the process with this start time is not listed.
   void OnLeaving(std::string_view id, std::int64_t start_time_ms);
 
+  // Call when a read had an entry of the target that cannot be used. The target
+  // is kept for kReturnTimeout, in which it can report again: another writer
+  // may have replaced its entry.
+  void OnUnusableEntry(MonotonicTime now, std::string_view id);
+
   // Removes the targets that were missing after an interruption and did not
   // return within kReturnTimeout. Call it regularly.
   void Expire(MonotonicTime now);
--- a/src/transport/gateway/gateway_control.h
+++ b/src/transport/gateway/gateway_control.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <variant>
@@ -798,17 +799,24 @@
     const bool restored = m_has_targets && page.era != m_target_era;
     m_target_era = page.era;
     TargetRegistry::Changes changes;
+    std::set<TargetId, std::less<>> unusable;
     for (const KeyedRecord& record : page.records) {
       std::optional<ListedTarget>& change = changes[record.key];
       change.reset();
+      unusable.erase(record.key);
       if (record.value.empty()) {
         continue;
       }
       auto parsed = m_platform.ParseTarget(record.key, record.value, now);
       if (parsed) {
         change = std::move(parsed).value();
-      } else {
-        m_metrics.IncrementEvent("unreadable_target");
+        continue;
+      }
+      m_metrics.IncrementEvent("unreadable_target");
+      const auto known = m_registry.targets().find(record.key);
+      if (known != m_registry.targets().end()) {
+        change = known->second;
+        unusable.insert(record.key);
       }
     }
     if (restored) {
@@ -816,6 +824,9 @@
     } else {
       m_registry.OnRead(now, std::move(changes), whole);
     }
+    for (const TargetId& id : unusable) {
+      m_registry.OnUnusableEntry(now, id);
+    }
     m_registry.Expire(now);
     m_has_targets = true;
     PublishTargets(now);
--- a/tests/process/support/gateway_cluster.cc
+++ b/tests/process/support/gateway_cluster.cc
@@ -287,6 +287,11 @@
             platform::EncodeRecord({"config", document}));
 }
 
+void GatewayCluster::AppendTargetRecord(const std::string& record) {
+  HttpClient(m_store_address)
+      .Post("/-/log-append?Topic=keyed.servers&part=0", record);
+}
+
 std::vector<std::string> GatewayCluster::Events() const {
   std::vector<std::string> lines;
   std::ifstream file(m_directory.path() / "events");
--- a/tests/process/support/gateway_cluster.h
+++ b/tests/process/support/gateway_cluster.h
@@ -95,6 +95,9 @@
   // The same with `routes` more routes, which are to "catalog" too.
   void PublishLargeConfiguration(int version, int routes);
 
+  // Appends an encoded record to the platform's list of targets.
+  void AppendTargetRecord(const std::string& record);
+
   // The events that the targets have written, one JSON object per line.
   std::vector<std::string> Events() const;
   // Directory of the settings, events and logs of the processes.
--- a/tests/unit/target_registry_test.cc
+++ b/tests/unit/target_registry_test.cc
@@ -34,6 +34,22 @@
   cr_assert(registry.targets().empty());
 }
 
+// Guards against a target that loses its keys because another writer has
+// replaced its entry, and against one that is kept for ever.
+Test(target_registry, target_with_an_unusable_entry_has_time_to_report) {
+  TargetRegistry registry;
+  ReadChange(registry, kStart, MakeEntry(1));
+  registry.OnUnusableEntry(kStart, "a");
+  registry.Expire(kStart + TargetRegistry::kReturnTimeout - Milliseconds(1));
+  cr_assert_eq(registry.targets().size(), 1);
+  ReadChange(registry, kStart + Milliseconds(800), MakeEntry(2));
+  registry.Expire(kStart + TargetRegistry::kReturnTimeout);
+  cr_assert_eq(registry.targets().size(), 1);
+  registry.OnUnusableEntry(kStart, "a");
+  registry.Expire(kStart + TargetRegistry::kReturnTimeout);
+  cr_assert(registry.targets().empty());
+}
+
 // Guards against an instance without targets after an outage of the list, in
 // which all entries expire.
 Test(target_registry, expired_entry_is_kept_for_its_return_after_an_outage) {
