Probe targets of the own zone too, and name targets to instances only

Cause: an instance in a zone that is cut off from the others reaches only the targets there; six probes of any targets may miss all of these, in (5/6)^6 = 0.33 of the rounds with six zones, and the instance would have forwarded its requests although it could serve them. And the header that names the target to an instance which forwards a request was dropped from all responses of targets.

Change: half of the probes go to targets of the own zone, if it has as many; the header is dropped from the responses to forwarded requests only.

Found by reading; gateway_forward_test, partitioned_instance_test and target_reachability_test pass.

--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -61,6 +61,7 @@
                   m_seed),
         m_prober(io.get_executor(),
                  m_context.services,
+                 m_settings.zone,
                  m_seed,
                  [this] { UpdateReachability(); }),
         m_report_timer(io),
--- a/src/transport/gateway/gateway_router.cc
+++ b/src/transport/gateway/gateway_router.cc
@@ -167,6 +167,7 @@
     }
   }
   m_target = {};
+  m_forwarded = true;
   m_sent_after =
       std::chrono::duration_cast<Milliseconds>(Now() - m_request.received_at);
   TargetExchange exchange(m_request, *stream, m_context.names,
@@ -380,6 +381,7 @@
     co_return HandleInterruption();
   }
   ++m_attempts;
+  m_forwarded = false;
   const auto listed = m_context.state.targets().find(m_target.id);
   m_target_start_ms = listed == m_context.state.targets().end()
                           ? 0
@@ -550,8 +552,13 @@
   m_outcome.verdict = Verdict::kRan;
   m_outcome.cause = "answered";
   m_outcome.target = m_target.id;
-  AppendCallerResponse(exchange.response(), exchange.body().size(), has_body,
-                       m_context.names.expected_target, m_outcome.head);
+  // This header is for instances that forward requests.
+  const bool between_instances =
+      m_forwarded || m_request.info.attempts_left.has_value();
+  AppendCallerResponse(
+      exchange.response(), exchange.body().size(), has_body,
+      between_instances ? m_context.names.expected_target : std::string_view(),
+      m_outcome.head);
   m_outcome.body = exchange.TakeBody();
   m_outcome.body_memory = exchange.TakeBodyMemory();
   return Action::kFinish;
--- a/src/transport/gateway/gateway_router.h
+++ b/src/transport/gateway/gateway_router.h
@@ -159,6 +159,8 @@
   std::vector<TargetId> m_tried_targets;
   // Instances that could not serve the forwarded request.
   std::vector<std::string> m_tried_forwarders;
+  // The last attempt was sent to another instance.
+  bool m_forwarded = false;
   // Time until a target may be sent the request within its rate limit.
   Milliseconds m_limit_retry_after{0};
   // How often the request was sent.
--- a/src/transport/gateway/target_prober.cc
+++ b/src/transport/gateway/target_prober.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <iterator>
 #include <utility>
 #include <vector>
 
@@ -39,9 +38,7 @@
 void TargetProber::StartRound(MonotonicTime now,
                               GatewayService& service,
                               int count) {
-  std::vector<RouteTarget> chosen;
-  std::sample(service.targets.begin(), service.targets.end(),
-              std::back_inserter(chosen), count, m_random);
+  const std::vector<RouteTarget> chosen = ChooseTargets(service.targets, count);
   service.reachability.OnProbesStarted(
       now, static_cast<int>(chosen.size()),
       count == TargetReachability::kConfirmingProbes);
@@ -51,6 +48,24 @@
   }
 }
 
+std::vector<RouteTarget> TargetProber::ChooseTargets(
+    const std::vector<RouteTarget>& targets,
+    int count) {
+  std::vector<RouteTarget> shuffled = targets;
+  std::shuffle(shuffled.begin(), shuffled.end(), m_random);
+  const auto first_remote = std::stable_partition(
+      shuffled.begin(), shuffled.end(),
+      [this](const RouteTarget& target) { return target.zone == m_own_zone; });
+  const auto local_count = std::min<std::ptrdiff_t>(
+      first_remote - shuffled.begin(), (count + 1) / 2);
+  const auto remote_count = std::min<std::ptrdiff_t>(
+      shuffled.end() - first_remote, count - local_count);
+  std::vector<RouteTarget> chosen(shuffled.begin(),
+                                  shuffled.begin() + local_count);
+  chosen.insert(chosen.end(), first_remote, first_remote + remote_count);
+  return chosen;
+}
+
 Task<void> TargetProber::Probe(GatewayService& service, std::string address) {
   const bool connected = co_await Connect(std::move(address));
   if (m_closed) {
