Soak: instances that reach no target

Seeds with an odd number give each gateway its own paths to the targets, and cut one gateway, or all but one, off from all of them for 0.2 to 5.7 s, among the other faults. The rest of the seeds are as before.

--- a/tests/process/support/gateway_cluster.cc
+++ b/tests/process/support/gateway_cluster.cc
@@ -97,7 +97,8 @@
 GatewayCluster::GatewayCluster(const Options& options)
     : m_work_ms(options.work_ms),
       m_initial_refusals(options.initial_refusals),
-      m_rate_limit(options.rate_limit) {
+      m_rate_limit(options.rate_limit),
+      m_target_links(options.target_links) {
   const std::string errors = (m_directory.path() / "errors").string();
   m_store = std::make_unique<Process>(
       std::vector<std::string>{StandinPath("store")}, errors);
@@ -117,8 +118,10 @@
     gateway.status_address = ChooseAddress();
     gateway.zone = "zone-" + std::to_string(options.target_links ? i + 1 : 1);
     gateway.store_link = std::make_unique<Relay>(m_store_address);
-    if (options.target_links) {
-      LinkTargets(gateway);
+    if (m_target_links) {
+      for (const Target& target : m_targets) {
+        LinkTarget(gateway, target.address);
+      }
     }
     gateway.settings_file =
         (m_directory.path() / (gateway.name + ".toml")).string();
@@ -128,18 +131,21 @@
   }
 }
 
-void GatewayCluster::LinkTargets(Gateway& gateway) {
-  boost::json::object addresses;
-  for (const Target& target : m_targets) {
-    gateway.target_links.push_back(std::make_unique<Relay>(target.address));
-    addresses[target.address] = gateway.target_links.back()->address();
+void GatewayCluster::LinkTarget(Gateway& gateway, const std::string& address) {
+  gateway.target_links.push_back(std::make_unique<Relay>(address));
+  Relay& link = *gateway.target_links.back();
+  if (gateway.cut_off) {
+    link.Refuse(true);
   }
-  ControlStore("/test/view", boost::json::serialize(boost::json::object{
-                                 {"host", gateway.store_link->address()},
-                                 {"addresses", std::move(addresses)}}));
+  ControlStore(
+      "/test/view",
+      boost::json::serialize(boost::json::object{
+          {"host", gateway.store_link->address()},
+          {"addresses", boost::json::object{{address, link.address()}}}}));
 }
 
 void GatewayCluster::CutOffFromTargets(std::size_t gateway, bool cut_off) {
+  m_gateways[gateway].cut_off = cut_off;
   for (const std::unique_ptr<Relay>& link : m_gateways[gateway].target_links) {
     link->Refuse(cut_off);
   }
@@ -158,6 +164,11 @@
 
 void GatewayCluster::StartTarget(Target& target) {
   target.address = ChooseAddress();
+  if (m_target_links) {
+    for (Gateway& gateway : m_gateways) {
+      LinkTarget(gateway, target.address);
+    }
+  }
   ++target.starts;
   std::vector<std::string> arguments = {
       StandinPath("keyed_target"),
--- a/tests/process/support/gateway_cluster.h
+++ b/tests/process/support/gateway_cluster.h
@@ -75,8 +75,9 @@
   }
 
   // Cuts the gateway off from all targets: connections are reset and new ones
-  // refused. Needs Options::target_links.
+  // refused, until it is called again with false. Needs Options::target_links.
   void CutOffFromTargets(std::size_t gateway, bool cut_off);
+  bool has_target_links() const { return m_target_links; }
 
   std::size_t targets() const { return m_targets.size(); }
   void SignalTarget(std::size_t target, int signal);
@@ -112,6 +113,7 @@
     std::string zone;
     std::unique_ptr<Relay> store_link;
     std::vector<std::unique_ptr<Relay>> target_links;
+    bool cut_off = false;
     std::unique_ptr<Process> process;
   };
 
@@ -125,8 +127,8 @@
 
   void WriteSettings(const Gateway& gateway, const std::string& peer_port);
   void StartTarget(Target& target);
-  // Makes the gateway reach the targets through relays.
-  void LinkTargets(Gateway& gateway);
+  // Makes the gateway reach the target at `address` through a relay.
+  void LinkTarget(Gateway& gateway, const std::string& address);
   void AppendConfiguration(const std::string& document);
 
   TemporaryDirectory m_directory;
@@ -135,6 +137,7 @@
   int m_work_ms = 0;
   int m_initial_refusals = 0;
   std::string m_rate_limit;
+  bool m_target_links = false;
   std::vector<Target> m_targets;
   std::vector<Gateway> m_gateways;
 };
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -218,7 +218,7 @@
     const std::size_t gateway = RandomGateway();
     const std::size_t target = RandomTarget();
     const milliseconds time(200 + RandomBelow(5500));
-    switch (RandomBelow(16)) {
+    switch (RandomBelow(m_cluster.has_target_links() ? 19 : 16)) {
       case 0:
         return KillAndRestart(gateway);
       case 1:
@@ -272,6 +272,21 @@
         m_cluster.SignalTarget(target, SIGUSR1);
         return ScheduleUndo(
             time, [this, target] { m_cluster.ReplaceTarget(target); });
+      case 16:
+      case 17:
+        m_cluster.CutOffFromTargets(gateway, true);
+        return ScheduleUndo(time, [this, gateway] {
+          m_cluster.CutOffFromTargets(gateway, false);
+        });
+      case 18:
+        for (std::size_t i = 0; i < m_cluster.gateways(); ++i) {
+          m_cluster.CutOffFromTargets(i, i != gateway);
+        }
+        return ScheduleUndo(time, [this] {
+          for (std::size_t i = 0; i < m_cluster.gateways(); ++i) {
+            m_cluster.CutOffFromTargets(i, false);
+          }
+        });
       default:
         for (std::size_t i = 0; i < m_cluster.gateways(); ++i) {
           m_cluster.Signal(i, SIGKILL);
@@ -293,6 +308,9 @@
   sizes.gateways = options.gateways;
   sizes.unkeyed_targets = std::max(1, options.targets / 3);
   sizes.keyed_targets = std::max(1, options.targets - sizes.unkeyed_targets);
+  // Links to the targets, which can be cut, give each gateway a zone of its
+  // own; without them, gateways read the log through each other.
+  sizes.target_links = options.seed % 2 == 1;
   GatewayCluster cluster(sizes);
   cluster.WaitUntilReady(Clock::now() + seconds(20));
   SoakClients clients(cluster, options);
