Tests: keep the port of a link that refuses connections

A link that was cut closed its listener, so that another process could get its port before the cut ended: one of 21 soaks run side by side ended with "bind: Address already in use", in the harness.

--- a/tests/process/support/relay.cc
+++ b/tests/process/support/relay.cc
@@ -1,6 +1,7 @@
 #include "process/support/relay.h"
 
 #include <fcntl.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <array>
@@ -33,8 +34,7 @@
  public:
   explicit Impl(const std::string& upstream)
       : m_upstream(ParseAddress(upstream)),
-        m_acceptor(m_context,
-                   tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+        m_acceptor(BindToFreePort(m_context)),
         m_endpoint(m_acceptor.local_endpoint()),
         m_resumed(m_context, asio::steady_timer::time_point::max()) {
     Listen();
@@ -68,11 +68,15 @@
   void Refuse(bool refuse) {
     asio::post(m_context, [this, refuse] {
       CloseConnections();
-      error_code ignored;
+      if (refuse == m_refusing) {
+        return;
+      }
+      m_refusing = refuse;
       if (refuse) {
-        m_acceptor.close(ignored);
-      } else if (!m_acceptor.is_open()) {
-        m_acceptor = tcp::acceptor(m_context, m_endpoint);
+        // The socket stays bound, so that no other process gets its port.
+        ::shutdown(m_acceptor.native_handle(), SHUT_RDWR);
+      } else {
+        m_acceptor.listen();
         Listen();
       }
     });
@@ -85,6 +89,26 @@
  private:
   using Socket = std::shared_ptr<tcp::socket>;
 
+  // Returns a listener on a free port. The port is named explicitly, because
+  // Linux assigns another one when a socket without it listens again.
+  static tcp::acceptor BindToFreePort(asio::io_context& context) {
+    for (;;) {
+      const tcp::endpoint any(asio::ip::address_v4::loopback(), 0);
+      const tcp::endpoint endpoint =
+          tcp::acceptor(context, any).local_endpoint();
+      tcp::acceptor acceptor(context, endpoint.protocol());
+      acceptor.set_option(asio::socket_base::reuse_address(true));
+      error_code failure;
+      acceptor.bind(endpoint, failure);
+      if (!failure) {
+        acceptor.listen(asio::socket_base::max_listen_connections, failure);
+      }
+      if (!failure) {
+        return acceptor;
+      }
+    }
+  }
+
   void CloseConnections() {
     for (const std::weak_ptr<tcp::socket>& weak : m_sockets) {
       if (const Socket socket = weak.lock()) {
@@ -196,6 +220,7 @@
   asio::steady_timer m_resumed;
   std::atomic<bool> m_requests_paused = false;
   std::atomic<bool> m_responses_paused = false;
+  bool m_refusing = false;
   // Zero for no limit.
   std::atomic<std::size_t> m_response_bytes_per_second = 0;
   std::chrono::steady_clock::time_point m_rate_allows_at;
