--- a/review/2/case.py
+++ b/review/2/case.py
@@ -8,7 +8,7 @@
 sys.path.insert(0, str(FOLDER.parent / "support"))
 
 from judge import double_owners  # noqa: E402
-from site_psr import HOST, configuration  # noqa: E402
+from site_psr import HOST, ZONES, configuration  # noqa: E402
 from standins import Client, CouldNotRun, Server, run_case  # noqa: E402
 
 SERVERS = 5
@@ -27,7 +27,7 @@
 async def case(deployment, trouble):
     record = deployment.record
     await deployment.add_gateways(
-        [("edge-%d" % (i + 1), "ridge-north") for i in range(GATEWAYS)])
+        [("edge-%d" % (i + 1), ZONES[i]) for i in range(GATEWAYS)])
     for i in range(SERVERS):
         await deployment.add_server(Server(
             record, deployment.store, "i-gear-%d" % (i + 1), "gearshelf",
--- a/review/support/site_psr.py
+++ b/review/support/site_psr.py
@@ -1,6 +1,10 @@
 """A small deployment like the site psr-gateway."""
 
 HOST = "shop.example"
+# An instance reads the store through another one of its zone, and then sees the
+# servers at the addresses that this one sees. Cases that disturb the path of one
+# machine put each machine into a zone of its own.
+ZONES = ["ridge-north", "ridge-south", "city-depot", "valley-lodge"]
 
 
 def configuration(version=1, services=None, changes=None):
