--- a/review/support/standins.py
+++ b/review/support/standins.py
@@ -5,8 +5,8 @@
 separate processes with the command of deploy/system.toml.
 
 Every gateway reaches the store and each server through listeners of its own
-(class Link), so that a case can cut, reset, refuse or delay the path between
-one gateway and one peer, as a proxy would.
+(class Link), so that a case can reset and refuse the path between one gateway
+and one peer, as a proxy would.
 """
 
 import asyncio
@@ -121,8 +121,6 @@
         self._handler = handler  # async (message, link) -> bytes or None
         self._server = None
         self._writers = set()
-        self._open = asyncio.Event()
-        self._open.set()
         self.port = 0
 
     @property
@@ -148,13 +146,6 @@
         if self._server is None:
             await self.start()
 
-    def silence(self):
-        """Holds back everything, like a partition, until heal()."""
-        self._open.clear()
-
-    def heal(self):
-        self._open.set()
-
     async def stop(self):
         await self.refuse()
 
@@ -165,9 +156,7 @@
                 message = await read_message(reader)
                 if message is None:
                     break
-                await self._open.wait()
                 answer = await self._handler(message, self)
-                await self._open.wait()
                 if answer is None:
                     # The answer is lost and so is its connection.
                     set_reset_on_close(writer)
