Never report a request as not sent when a copy of it was sent

Cause: HttpConnection sends a request again when a reused connection is lost and returned the error of the second copy alone. A refused connection for that copy meant "nothing was sent", so the leader recorded no expiry for a renewal that the target had executed, and gave its keys away too early. Evidence: the event log shows key_order grant with the outcome "not sent" for the order that the target received.

Change: an exchange that was sent twice, or that failed on an established connection, never fails with kRefused. On a related path, a grant answered with an error may have been executed as an earlier copy; the leader records its expiry as well. That is why no other target gets the keys before the renewal has expired, whatever becomes of the copies.

--- a/src/coordination/key_leader.cc
+++ b/src/coordination/key_leader.cc
@@ -667,6 +667,7 @@
     --in_flight->second;
   }
   if (outcome == KeyOrderOutcome::kDone ||
+      outcome == KeyOrderOutcome::kRejected ||
       outcome == KeyOrderOutcome::kUnknown) {
     MonotonicTime& until = m_granted_until[order.target];
     until = std::max(until, now + LongestElapsedTime(order.grant_duration));
--- a/src/coordination/key_leader.h
+++ b/src/coordination/key_leader.h
@@ -46,7 +46,8 @@
 enum class KeyOrderOutcome {
   kDone,
   kFenced,    // The target has already seen a greater fencing token.
-  kRejected,  // The target answered with another error and has not executed it.
+  kRejected,  // The target answered with another error. It may have received an
+              // earlier copy of the order, and may execute that.
   kGone,      // Another target answers at the address, so the process that was
               // meant has terminated.
   kNotSent,   // No connection could be made. A network partition looks like a
--- a/src/transport/http_connection.cc
+++ b/src/transport/http_connection.cc
@@ -35,15 +35,27 @@
          error == asio::error::network_unreachable;
 }
 
+// Error code of a failed attempt to connect.
+ErrorCode ConnectErrorCode(const beast::error_code& error) {
+  if (error == beast::error::timeout) {
+    return ErrorCode::kTimeout;
+  }
+  return IsConnectFailure(error) ? ErrorCode::kRefused
+                                 : ErrorCode::kUnavailable;
+}
+
+// Error code of a failed exchange over an established connection. Never
+// kRefused: the peer may have received the request, also when the kernel
+// reports that the host has become unreachable since.
+ErrorCode ExchangeErrorCode(const beast::error_code& error) {
+  return error == beast::error::timeout ? ErrorCode::kTimeout
+                                        : ErrorCode::kUnavailable;
+}
+
 auto MakeError(const std::string& address,
+               ErrorCode code,
                const beast::error_code& error,
                std::size_t received = 0) {
-  ErrorCode code = ErrorCode::kUnavailable;
-  if (error == beast::error::timeout) {
-    code = ErrorCode::kTimeout;
-  } else if (IsConnectFailure(error)) {
-    code = ErrorCode::kRefused;
-  }
   std::string message = address + ": " + error.message();
   if (received > 0) {
     message += " after " + std::to_string(received) + " bytes of the response";
@@ -144,9 +156,17 @@
   Result<HttpClientResponse> response = co_await ExchangeOnce(call, deadline);
   const bool connection_lost =
       response.has_error() && response.error().code == ErrorCode::kUnavailable;
-  if (connection_lost && reused && call.retriable &&
-      close_count == m_close_count) {
-    co_return co_await ExchangeOnce(call, deadline);
+  if (!connection_lost || !reused || !call.retriable ||
+      close_count != m_close_count) {
+    co_return response;
+  }
+  // The peer may have received the first copy, so the failure of the second one
+  // does not show that nothing was sent.
+  const Error first_error = response.error();
+  response = co_await ExchangeOnce(call, deadline);
+  if (response.has_error() && response.error().code == ErrorCode::kRefused) {
+    co_return Fail(first_error.code,
+                   first_error.message + "; then " + response.error().message);
   }
   co_return response;
 }
@@ -164,7 +184,7 @@
       std::min(deadline, std::chrono::steady_clock::now() + kConnectTimeout));
   const auto [error] = co_await stream->async_connect(endpoint.value(), kAwait);
   if (error) {
-    co_return MakeError(m_address, error);
+    co_return MakeError(m_address, ConnectErrorCode(error), error);
   }
   beast::error_code ignored;
   stream->socket().set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -231,7 +251,7 @@
     if (m_stream == stream) {
       m_stream.reset();
     }
-    co_return MakeError(m_address, error, received);
+    co_return MakeError(m_address, ExchangeErrorCode(error), error, received);
   }
   stream->expires_never();
   if (m_buffer.size() == 0 && m_buffer.capacity() > kMaxIdleBufferBytes) {
--- a/src/transport/http_connection.h
+++ b/src/transport/http_connection.h
@@ -78,8 +78,10 @@
   HttpConnection& operator=(const HttpConnection&) = delete;
 
   // Sends `call` and returns the response, or fails by `deadline` or, once the
-  // response has begun, by `call.transfer_deadline`. The connection object must
-  // outlive the call.
+  // response has begun, by `call.transfer_deadline`. If it was sent twice (see
+  // HttpClientRequest::retriable), the result is that of the second copy,
+  // except that it is never kRefused: the peer may have received the first one.
+  // The connection object must outlive the call.
   boost::asio::awaitable<Result<HttpClientResponse>> Exchange(
       HttpClientRequest call,
       MonotonicTime deadline);
--- a/tests/process/target_order_client_test.cc
+++ b/tests/process/target_order_client_test.cc
@@ -1,5 +1,6 @@
 #include "platform/target_order_client.h"
 
+#include <atomic>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/use_future.hpp>
@@ -92,5 +93,33 @@
   }
 }
 
+// Guards against a renewal that has reached the target and counts as not sent,
+// because the connection for its second copy was refused: the leader would give
+// the keys to another target while this one holds them.
+Test(target_order_client, grant_that_was_sent_does_not_count_as_not_sent) {
+  std::atomic<int> grants = 0;
+  FakeTarget* listener = nullptr;
+  FakeTarget target([&](RawSocket& connection, const std::string& head) {
+    connection.ReadExactly(static_cast<std::size_t>(
+        std::atoi(HeaderOf(head, "Content-Length").c_str())));
+    if (++grants == 1) {
+      return connection.Send(kOk);
+    }
+    listener->StopListening();
+    connection.Reset();
+    return false;
+  });
+  listener = &target;
+  boost::asio::io_context io;
+  TargetOrderClient client(io.get_executor(), target.address());
+  const KeyOrderResult granted = Send(io, client, KeyOrder::Kind::kGrant);
+  cr_assert(granted.outcome == KeyOrderOutcome::kDone);
+  const KeyOrderResult renewed = Send(io, client, KeyOrder::Kind::kGrant);
+  cr_assert(renewed.outcome == KeyOrderOutcome::kUnknown,
+            "the renewal counts as %s",
+            std::string(ToString(renewed.outcome)).c_str());
+  client.Close();
+}
+
 }  // namespace
 }  // namespace snipehall::platform
--- a/tests/unit/key_leader_test.cc
+++ b/tests/unit/key_leader_test.cc
@@ -107,18 +107,9 @@
   cr_assert_lt(fixture.Range(0).fencing_token, fixture.Range(1).fencing_token);
 }
 
-// Guards against two owners of a key: a failed connection may mean a network
-// partition, in which the owner still serves its keys.
-Test(key_leader, unreachable_owner_keeps_its_keys_until_its_grant_has_expired) {
-  LeaderFixture fixture;
-  fixture.BecomeLeaderOfTwoTargets();
-  fixture.Advance(KeyLeader::kRenewalInterval);
-  for (const KeyOrder& order : fixture.TakeDueOrders()) {
-    fixture.Finish(order, order.target == "a" ? KeyOrderOutcome::kNotSent
-                                              : KeyOrderOutcome::kDone);
-  }
-  const MonotonicTime expiry =
-      fixture.now() - KeyLeader::kRenewalInterval + KeyLeader::kGrantDuration;
+// Lets target "a" be unreachable until `expiry` and checks that its keys are
+// not granted to another target before.
+void RequireNoOtherOwnerBefore(LeaderFixture& fixture, MonotonicTime expiry) {
   while (fixture.now() + Milliseconds(100) < expiry) {
     fixture.Advance(Milliseconds(100));
     fixture.AppendNextTable();
@@ -131,6 +122,26 @@
                      to_a ? KeyOrderOutcome::kNotSent : KeyOrderOutcome::kDone);
     }
   }
+}
+
+// Finishes the due renewals, that of target "a" with `outcome`.
+void FinishRenewals(LeaderFixture& fixture, KeyOrderOutcome outcome) {
+  for (const KeyOrder& order : fixture.TakeDueOrders()) {
+    fixture.Finish(order,
+                   order.target == "a" ? outcome : KeyOrderOutcome::kDone);
+  }
+}
+
+// Guards against two owners of a key: a failed connection may mean a network
+// partition, in which the owner still serves its keys.
+Test(key_leader, unreachable_owner_keeps_its_keys_until_its_grant_has_expired) {
+  LeaderFixture fixture;
+  fixture.BecomeLeaderOfTwoTargets();
+  fixture.Advance(KeyLeader::kRenewalInterval);
+  FinishRenewals(fixture, KeyOrderOutcome::kNotSent);
+  const MonotonicTime expiry =
+      fixture.now() - KeyLeader::kRenewalInterval + KeyLeader::kGrantDuration;
+  RequireNoOtherOwnerBefore(fixture, expiry);
   fixture.Advance(Milliseconds(1000));
   cr_assert(fixture.AppendNextTable());
   for (std::size_t i = 0; i < fixture.ranges(); ++i) {
@@ -138,6 +149,19 @@
   }
 }
 
+// Guards against two owners of a key: an error in response to a renewal does
+// not show that the owner has not executed it, for example an earlier copy.
+Test(key_leader, renewal_answered_with_an_error_may_have_been_executed) {
+  LeaderFixture fixture;
+  fixture.BecomeLeaderOfTwoTargets();
+  fixture.Advance(KeyLeader::kRenewalInterval);
+  FinishRenewals(fixture, KeyOrderOutcome::kRejected);
+  const MonotonicTime expiry = fixture.now() + KeyLeader::kGrantDuration;
+  fixture.Advance(KeyLeader::kRetryDelay);
+  FinishRenewals(fixture, KeyOrderOutcome::kNotSent);
+  RequireNoOtherOwnerBefore(fixture, expiry);
+}
+
 // Guards against a grant to the new owner before the previous one has released
 // the keys.
 Test(key_leader, leaving_owner_releases_keys_before_the_new_owner_is_granted) {
--- a/tests/unit/support/fake_target.h
+++ b/tests/unit/support/fake_target.h
@@ -51,7 +51,7 @@
   }
 
   ~FakeTarget() {
-    shutdown(m_listener, SHUT_RDWR);
+    StopListening();
     m_accept_thread.join();
     close(m_listener);
     {
@@ -65,6 +65,9 @@
     }
   }
 
+  // Makes the target refuse new connections.
+  void StopListening() { shutdown(m_listener, SHUT_RDWR); }
+
   const std::string& address() const { return m_address; }
   int connections() const { return m_connections; }
 
