Let requests run until the last sixth of the shutdown limit

Cause: fixed margins of 1.1 s before the shutdown limit of 6 s, while the platform excuses unfinished requests in the last sixth, 1 s. With a short limit the process would have been killed with its listener open.

Change: ShutdownSchedule has all steps of a stop as fractions of the limit; requests in progress are ended after five sixths of it and a fortieth. Requests with a late deadline are refused a little before half of the limit, since the process sees the signal after it was sent.

--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -128,10 +128,6 @@
   }
 
  private:
-  // How long new connections are accepted after the signal to stop. The load
-  // balancer checks readiness every second, removes an instance after two
-  // failed checks, and sends it new connections until then.
-  static constexpr Milliseconds kDrainAcceptTime{2600};
   // Interval at which a shutdown checks for requests in progress.
   static constexpr Milliseconds kStopPollInterval{50};
   // Interval between load reports to the leader.
@@ -139,12 +135,6 @@
   // Delay of the event loop from which on it is logged. The load balancer's
   // checks and the callers' shortest deadlines are of that order.
   static constexpr Milliseconds kLoggedEventLoopDelay{250};
-  // The process ends this long before the shutdown limit at the latest: exiting
-  // takes time on a slow machine, and the platform excuses unfinished requests
-  // in the last sixth of the limit.
-  static constexpr Milliseconds kStopMargin{900};
-  // Requests in progress are ended, each with a response, this long before.
-  static constexpr Milliseconds kResponseMargin{200};
 
   static MonotonicTime Now() { return std::chrono::steady_clock::now(); }
 
@@ -285,22 +275,20 @@
                 {{"busy", std::to_string(m_server->active_requests())}});
     m_server->BeginDrain();
     m_control.BeginDrain();
-    const MonotonicTime now = Now();
-    m_accept_until = now + kDrainAcceptTime;
-    m_stop_deadline = now + m_settings.shutdown_timeout - kStopMargin;
-    m_context.refuses_long_requests_at = now + m_settings.shutdown_timeout / 2;
-    m_context.responses_due_at = m_stop_deadline - kResponseMargin;
+    m_context.shutdown =
+        ShutdownSchedule::Create(Now(), m_settings.shutdown_timeout);
     ContinueStop();
   }
 
   void ContinueStop() {
-    if (Now() >= m_accept_until) {
+    const ShutdownSchedule& schedule = m_context.shutdown;
+    if (Now() >= schedule.accept_until) {
       m_server->CloseCallerListener();
       m_server->CloseIdle();
-      if (Now() >= m_context.responses_due_at) {
+      if (Now() >= schedule.responses_due_at) {
         m_server->ExpireRequests();
       }
-      if (!m_server->has_open_sessions() || Now() >= m_stop_deadline) {
+      if (!m_server->has_open_sessions() || Now() >= schedule.ends_at) {
         m_log.Write("stopped",
                     {{"busy", std::to_string(m_server->active_requests())}});
         m_server->Stop();
@@ -336,8 +324,6 @@
   boost::asio::signal_set m_signals;
   std::function<Result<GatewaySettings>()> m_load_settings;
   boost::asio::steady_timer m_stop_timer;
-  MonotonicTime m_accept_until;
-  MonotonicTime m_stop_deadline;
 };
 
 }  // namespace snipehall
--- a/src/transport/gateway/gateway_context.h
+++ b/src/transport/gateway/gateway_context.h
@@ -12,6 +12,7 @@
 #include "coordination/buffer_budget.h"
 #include "coordination/key_load_recorder.h"
 #include "coordination/poison_request_detector.h"
+#include "coordination/shutdown_schedule.h"
 #include "coordination/target_pauses.h"
 #include "coordination/target_rate_limits.h"
 #include "protocol/gateway_headers.h"
@@ -113,11 +114,8 @@
   // The instance is shutting down: each connection is closed after its next
   // response.
   bool draining = false;
-  // While it is shutting down: from when on requests whose deadline is later
-  // than `responses_due_at` are not sent to a target any more, and when all
-  // requests in progress are ended.
-  MonotonicTime refuses_long_requests_at = MonotonicTime::max();
-  MonotonicTime responses_due_at = MonotonicTime::max();
+  // Steps of the shutdown; in the far future until it begins.
+  ShutdownSchedule shutdown;
 };
 
 }  // namespace snipehall
--- a/src/transport/gateway/gateway_router.cc
+++ b/src/transport/gateway/gateway_router.cc
@@ -78,8 +78,8 @@
     co_return FinishWithError(m_may_have_run ? 502 : 400,
                               "request crashes its targets");
   }
-  if (Now() >= m_context.refuses_long_requests_at &&
-      m_request.deadline > m_context.responses_due_at) {
+  if (Now() >= m_context.shutdown.refuses_long_requests_at &&
+      m_request.deadline > m_context.shutdown.responses_due_at) {
     co_return FinishUnavailable("the instance is shutting down",
                                 kBusyRetryAfter);
   }
