End reads through a relay before its records are two seconds old

Cause: an instance accepts records of its zone's relay that are up to 1.5 s old and then begins a long poll of 0.7 s, or of 1 s if the relay does not respond, before it turns to the store. Evidence: the late instance's event configuration has no source, thus came from the store, with read_ms 700.

Change: RelayedLog remembers when the log last responded, to the relay or to itself, and gives a read through the relay the time that is left of 1.9 s. A relay that reads the log as usual is polled as before. The lists of targets and keys take the same way.

--- a/src/transport/relayed_log.h
+++ b/src/transport/relayed_log.h
@@ -35,14 +35,19 @@
 template <RecordLog Log>
 class RelayedLog {
  public:
-  // Long-poll wait of a read through the relay.
-  static constexpr Milliseconds kRelayLongPollWait{700};
+  // Bounds of the long-poll wait of a read through the relay.
+  static constexpr Milliseconds kMaxRelayLongPollWait{700};
+  static constexpr Milliseconds kMinRelayLongPollWait{100};
   // Time allowed for the relay's response in addition to the long-poll wait.
   static constexpr Milliseconds kRelayResponseMargin{300};
   // Maximum time since the log last responded to the relay. A longer time means
   // that the relay has lost its connection to the log. In normal operation the
   // relay's reads of the log, including their long-poll wait, take less.
   static constexpr Milliseconds kMaxRelayAge{1500};
+  // Maximum time since the log is known to have responded, to this instance or
+  // to its relay, at the end of a read through the relay. A change must be
+  // known two seconds after the log has accepted it, and a direct read follows.
+  static constexpr Milliseconds kMaxKnownAge{1900};
   // Time for which the relay is not used after a failed read through it.
   static constexpr Milliseconds kRelayRetryDelay{2000};
 
@@ -87,25 +92,28 @@
       co_return Fail(ErrorCode::kUnavailable,
                      "the log ends at an earlier time");
     }
+    RecordResponse(page);
     co_return page;
   }
 
   // Returns the next records of `topic` from `from` on, or an empty page if
   // none is added during the long-poll wait. The page is of a later era if the
   // log was restored, and is then no continuation of `from`. First tries the
-  // relay, whose response has to begin within kRelayLongPollWait +
-  // kRelayResponseMargin. If there is no relay or that fails, waits until a
-  // direct read is due by ReadSchedule::interval and then reads directly; the
-  // response has to begin within the long-poll wait plus `limit`.
+  // relay, whose response has to begin within the time that kMaxKnownAge
+  // leaves, at least kMinRelayLongPollWait + kRelayResponseMargin. If there is
+  // no relay or that fails, waits until a direct read is due by
+  // ReadSchedule::interval and then reads directly; the response has to begin
+  // within the long-poll wait plus `limit`.
   boost::asio::awaitable<Result<RecordPage>> Read(std::string topic,
                                                   TopicPosition from,
                                                   Milliseconds limit) {
     if (CanUseRelay()) {
+      const Milliseconds relay_wait = RelayLongPollWait();
       Result<RecordPage> page = co_await ReadFromRelay(
           "/records?topic=" + topic + "&era=" + std::to_string(from.era) +
               "&from=" + std::to_string(from.offset) +
-              "&wait_ms=" + std::to_string(kRelayLongPollWait.count()),
-          from, kRelayLongPollWait + kRelayResponseMargin);
+              "&wait_ms=" + std::to_string(relay_wait.count()),
+          from, relay_wait + kRelayResponseMargin);
       if (page || m_closed) {
         co_return page;
       }
@@ -126,6 +134,7 @@
     if (page && page.value().era < from.era) {
       co_return Fail(ErrorCode::kUnavailable, "the log is in an earlier era");
     }
+    RecordResponse(page);
     co_return page;
   }
 
@@ -153,6 +162,22 @@
            std::chrono::steady_clock::now() >= m_relay_selection->direct_until;
   }
 
+  // Long-poll wait of the next read through the relay. The older the known
+  // records are, the shorter it is, since the relay may have lost the log or
+  // may not respond at all.
+  Milliseconds RelayLongPollWait() const {
+    const auto time_left = std::chrono::duration_cast<Milliseconds>(
+        m_known_at + kMaxKnownAge - std::chrono::steady_clock::now());
+    return std::clamp(time_left - kRelayResponseMargin, kMinRelayLongPollWait,
+                      kMaxRelayLongPollWait);
+  }
+
+  void RecordResponse(const Result<RecordPage>& page) {
+    if (page) {
+      m_known_at = std::max(m_known_at, page.value().received_at);
+    }
+  }
+
   static bool EndsBefore(const RecordPage& page, TopicPosition position) {
     return page.era < position.era ||
            (page.era == position.era && page.end_offset < position.offset);
@@ -199,6 +224,7 @@
       co_return Fail(ErrorCode::kUnavailable,
                      "the relay instance has lost its connection to the log");
     }
+    RecordResponse(page);
     co_return page;
   }
 
@@ -210,6 +236,9 @@
   std::shared_ptr<HttpConnection> m_relay;
   std::string m_source;
   MonotonicTime m_last_direct_read;
+  // When the log last responded, to this instance or to its relay, as far as
+  // this instance knows.
+  MonotonicTime m_known_at;
   bool m_closed = false;
 };
 
