Bound the memory of responses without end to orders

Reported by operators of similar systems: a target sent bytes without end and the machine that had called it ran out of memory.

Cause: HttpConnection limited the body of a response, not its read buffer, in which Beast's parser keeps trailers and chunk extensions until they are complete. Responses to callers' requests were bounded already.

Change: the buffer has 64 KB at most, and a response that takes 64 KB more than its largest body fails at once, whatever the bytes are.

--- a/src/transport/http_connection.cc
+++ b/src/transport/http_connection.cc
@@ -76,9 +76,14 @@
 // whole deadline of a long-polling call.
 constexpr Milliseconds kConnectTimeout{1000};
 
-// Maximum number of bytes that are read at once, and of those for which an idle
-// connection keeps memory.
+// Maximum number of bytes that are read at once, and of those that are kept
+// until the parser accepts them: the parser keeps a head, a chunk's size and
+// extensions, or the trailers until they are complete.
 constexpr std::size_t kMaxReadBytes = std::size_t{64} << 10;
+// A response may have this many bytes more than its body, for its head and the
+// framing of its chunks.
+constexpr std::size_t kMaxFramingBytes = std::size_t{64} << 10;
+// Size up to which an idle connection keeps its buffer.
 constexpr std::size_t kMaxIdleBufferBytes = std::size_t{4} << 10;
 
 // Maximum time without a byte of a response that is being transferred after the
@@ -131,7 +136,8 @@
     : m_executor(std::move(executor)),
       m_address(std::move(address)),
       m_body_limit(body_limit),
-      m_bytes(bytes) {}
+      m_bytes(bytes),
+      m_buffer(kMaxReadBytes) {}
 
 void HttpConnection::Close() {
   ++m_close_count;
@@ -239,6 +245,9 @@
       ReserveForBody(parser);
     }
     received += size;
+    if (!error && received > m_body_limit + kMaxFramingBytes) {
+      error = http::error::body_limit;
+    }
     stream->expires_at(std::max(
         deadline, std::min(call.transfer_deadline, now + kMaxTransferPause)));
   }
--- a/src/transport/http_connection.h
+++ b/src/transport/http_connection.h
@@ -64,7 +64,8 @@
 
 // A persistent HTTP/1.1 client connection to one address. It connects on demand
 // and carries one exchange at a time. Fails with the errors described in
-// transport/platform_clients.h; a response with any status code is a success.
+// transport/platform_clients.h; a response with any status code is a success. A
+// response that never ends fails as soon as it is too long, in whatever part.
 class HttpConnection {
  public:
   // `body_limit` is the maximum size of a response body in bytes. `bytes`, if
--- a/tests/process/support/gateway_cluster.cc
+++ b/tests/process/support/gateway_cluster.cc
@@ -43,6 +43,8 @@
 NodeName = "%NAME%"
 Ip = "127.0.0.1"
 Zone = "%ZONE%"
+[Local.Limits]
+MemoryMb = %MEMORY%
 [Network]
 InternalPorts = [%PEER%, %PEER%]
 [Network.Listen]
@@ -98,7 +100,8 @@
     : m_work_ms(options.work_ms),
       m_initial_refusals(options.initial_refusals),
       m_rate_limit(options.rate_limit),
-      m_target_links(options.target_links) {
+      m_target_links(options.target_links),
+      m_memory_mb(options.memory_mb) {
   const std::string errors = (m_directory.path() / "errors").string();
   m_store = std::make_unique<Process>(
       std::vector<std::string>{StandinPath("store")}, errors);
@@ -156,6 +159,7 @@
   std::ofstream(gateway.settings_file) << FillTemplate(
       kSettingsTemplate, {{"NAME", gateway.name},
                           {"ZONE", gateway.zone},
+                          {"MEMORY", std::to_string(m_memory_mb)},
                           {"PEER", peer_port},
                           {"FRONT", gateway.address},
                           {"READY", gateway.status_address},
@@ -233,6 +237,19 @@
   return std::strtod(reply->body.c_str() + found + label.size(), nullptr);
 }
 
+std::size_t GatewayCluster::PeakResidentBytes(std::size_t gateway) const {
+  constexpr std::string_view kPeak = "VmHWM:";
+  std::ifstream file("/proc/" +
+                     std::to_string(m_gateways[gateway].process->pid()) +
+                     "/status");
+  for (std::string line; std::getline(file, line);) {
+    if (line.starts_with(kPeak)) {
+      return std::strtoull(line.c_str() + kPeak.size(), nullptr, 10) << 10;
+    }
+  }
+  throw TestFailure("the gateway's memory cannot be read");
+}
+
 void GatewayCluster::Signal(std::size_t gateway, int signal) {
   m_gateways[gateway].process->Signal(signal);
 }
--- a/tests/process/support/gateway_cluster.h
+++ b/tests/process/support/gateway_cluster.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <optional>
@@ -34,6 +35,8 @@
     // Each gateway reaches the targets through relays of its own, and is in an
     // availability zone of its own, so that it reads no addresses from others.
     bool target_links = false;
+    // Memory limit in the gateways' settings, MiB; none if it is zero.
+    int memory_mb = 0;
   };
 
   explicit GatewayCluster(const Options& options);
@@ -60,6 +63,9 @@
   std::optional<double> Metric(std::size_t gateway,
                                const std::string& name) const;
 
+  // Largest resident set of the gateway's process so far, bytes.
+  std::size_t PeakResidentBytes(std::size_t gateway) const;
+
   // Sends a signal to the gateway's process.
   void Signal(std::size_t gateway, int signal);
   // Waits until the gateway's process has ended. Returns what Process::Wait()
@@ -138,6 +144,7 @@
   int m_initial_refusals = 0;
   std::string m_rate_limit;
   bool m_target_links = false;
+  int m_memory_mb = 0;
   std::vector<Target> m_targets;
   std::vector<Gateway> m_gateways;
 };
