Close connections with bytes behind a response

A target that sends the response to an order twice in one segment left the second copy in HttpConnection's read buffer, where it passed for the response to the next order on that connection; IsStale() looks at the socket only. A grant that the target rejects with 409 counted as done. Found by the review's reading; no caller has seen it.

Such a connection is closed now. copy_behind_a_response_does_not_complete_a_grant failed before ("the renewal counts as done") and passes.

--- a/src/transport/http_connection.cc
+++ b/src/transport/http_connection.cc
@@ -270,7 +270,9 @@
   const bool keep_alive = parser.get().keep_alive();
   response.body = std::move(parser.get().body());
   response.headers = std::move(parser.get().base());
-  if (!keep_alive && m_stream == stream) {
+  // Bytes behind a response belong to no request, and would pass for the
+  // response to the next one.
+  if ((!keep_alive || m_buffer.size() > 0) && m_stream == stream) {
     Disconnect();
   }
   co_return response;
--- a/tests/process/target_order_client_test.cc
+++ b/tests/process/target_order_client_test.cc
@@ -71,6 +71,31 @@
   client.Close();
 }
 
+// The second copy of a grant's response arrives together with the first one.
+// Taken for the response to the next grant, it would hide that the target
+// rejects that one.
+Test(target_order_client, copy_behind_a_response_does_not_complete_a_grant) {
+  std::atomic<int> grants = 0;
+  FakeTarget target([&](RawSocket& connection, const std::string& head) {
+    connection.ReadExactly(static_cast<std::size_t>(
+        std::atoi(HeaderOf(head, "Content-Length").c_str())));
+    if (++grants == 1) {
+      return connection.Send(std::string(kOk) + kOk);
+    }
+    return connection.Send(
+        "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n");
+  });
+  boost::asio::io_context io;
+  TargetOrderClient client(io.get_executor(), target.address());
+  const KeyOrderResult granted = Send(io, client, KeyOrder::Kind::kGrant);
+  cr_assert(granted.outcome == KeyOrderOutcome::kDone);
+  const KeyOrderResult renewed = Send(io, client, KeyOrder::Kind::kGrant);
+  cr_assert(renewed.outcome == KeyOrderOutcome::kFenced,
+            "the renewal counts as %s",
+            std::string(ToString(renewed.outcome)).c_str());
+  client.Close();
+}
+
 // Guards against a truncated response that counts as the execution of an order:
 // keys would get another owner while the target still runs requests for them.
 Test(target_order_client, truncated_response_leaves_the_outcome_unknown) {
