Tests: choose ports that the kernel assigns to no other socket

Ports are now below the range that the kernel assigns and free for datagrams too, and the failure's message has the last lines of the logs. No check changes.

--- a/tests/process/support/gateway_cluster.cc
+++ b/tests/process/support/gateway_cluster.cc
@@ -2,10 +2,15 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
 #include <boost/json.hpp>
 #include <csignal>
 #include <cstdlib>
+#include <deque>
+#include <filesystem>
 #include <fstream>
+#include <numeric>
+#include <random>
 #include <set>
 
 #include "platform/store_records.h"
@@ -16,6 +21,7 @@
 namespace {
 
 using boost::asio::ip::tcp;
+using boost::asio::ip::udp;
 
 constexpr const char* kConfigurationTemplate = R"({"Version":%VERSION%,
 "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":67108864,
@@ -72,15 +78,35 @@
   return text;
 }
 
-// Returns a port that is currently free and was not returned before.
+// Whether a process can listen at the port, for connections and for datagrams.
+bool IsFree(unsigned short port) {
+  boost::asio::io_context context;
+  const auto address = boost::asio::ip::address_v4::loopback();
+  boost::system::error_code error;
+  tcp::acceptor acceptor(context);
+  acceptor.open(tcp::v4());
+  acceptor.bind({address, port}, error);
+  if (error) {
+    return false;
+  }
+  udp::socket socket(context, udp::v4());
+  socket.bind({address, port}, error);
+  return !error;
+}
+
+// Returns a port that is currently free and was not returned before. It is
+// below the range of ports that the kernel assigns, so that no other socket
+// gets it before the process that it is meant for is listening.
 std::string ChoosePort() {
+  constexpr unsigned short kFirst = 12000;
+  constexpr unsigned short kLast = 32767;
   static std::set<unsigned short> used_ports;
-  boost::asio::io_context context;
+  static std::mt19937 random{std::random_device{}()};
+  std::uniform_int_distribution<unsigned short> distribution(kFirst, kLast);
   for (;;) {
-    const tcp::acceptor acceptor(context,
-                                 {boost::asio::ip::address_v4::loopback(), 0});
-    const unsigned short port = acceptor.local_endpoint().port();
-    if (used_ports.insert(port).second) {
+    const unsigned short port = distribution(random);
+    if (!used_ports.contains(port) && IsFree(port)) {
+      used_ports.insert(port);
       return std::to_string(port);
     }
   }
@@ -90,6 +116,20 @@
   return "127.0.0.1:" + ChoosePort();
 }
 
+// Returns the last lines of a file, or an empty string if it cannot be read.
+std::string LastLines(const std::filesystem::path& path) {
+  constexpr std::size_t kMaxLines = 20;
+  std::ifstream file(path);
+  std::deque<std::string> lines;
+  for (std::string line; std::getline(file, line);) {
+    lines.push_back(line + "\n");
+    if (lines.size() > kMaxLines) {
+      lines.pop_front();
+    }
+  }
+  return std::accumulate(lines.begin(), lines.end(), std::string());
+}
+
 std::string GatewayPath() {
   return std::string(SNIPEHALL_BIN_DIR) + "/platform/snipehall-gateway";
 }
@@ -203,8 +243,11 @@
 
 void GatewayCluster::WaitUntilReady(Clock::time_point deadline) {
   for (std::size_t i = 0; i < m_gateways.size(); ++i) {
-    Require(WaitUntil(deadline, [this, i] { return IsReady(i); }),
-            m_gateways[i].name + " is not ready");
+    if (!WaitUntil(deadline, [this, i] { return IsReady(i); })) {
+      throw TestFailure(m_gateways[i].name + " is not ready\n" +
+                        LastLines(m_directory.path() / "errors") +
+                        LastLines(m_directory.path() / m_gateways[i].name));
+    }
   }
 }
 
