--- a/tests/process/endless_response_test.cc
+++ b/tests/process/endless_response_test.cc
@@ -26,13 +26,13 @@
 constexpr int kMemoryMb = 160;
 constexpr std::size_t kBlockBytes = std::size_t{64} << 10;
 
-// A response that begins with `begin` and goes on with repetitions of `more`.
+// A response whose status line and ID of the request are followed by `begin`
+// and by repetitions of `more`.
 struct EndlessResponse {
   std::string_view begin;
   std::string_view more;
 };
 
-// The first lines of `begin` are followed by the ID of the request.
 constexpr EndlessResponse kEndlessResponses[] = {
     // Trailer fields.
     {"Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"},
@@ -145,6 +145,7 @@
   std::atomic<int> unanswered = 0;
   {
     std::vector<std::jthread> callers;
+    callers.reserve(kCallers);
     for (int i = 0; i < kCallers; ++i) {
       callers.emplace_back(
           [&, i] { unanswered += SendRequests(cluster, i, end, served); });
