--- a/tests/process/target_order_client_test.cc
+++ b/tests/process/target_order_client_test.cc
@@ -22,6 +22,11 @@
 
 constexpr const char* kOk = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 
+void ReadBody(RawSocket& connection, const std::string& head) {
+  connection.ReadExactly(static_cast<std::size_t>(
+      std::atoi(HeaderOf(head, "Content-Length").c_str())));
+}
+
 KeyOrderResult Send(boost::asio::io_context& io,
                     TargetOrderClient& client,
                     KeyOrder::Kind kind) {
@@ -38,13 +43,26 @@
   return result.get();
 }
 
+// Sends two grants over one client and checks that the first one is done and
+// the second one has the outcome `expected`.
+void RequireOutcomeOfRenewal(const std::string& address,
+                             KeyOrderOutcome expected) {
+  boost::asio::io_context io;
+  TargetOrderClient client(io.get_executor(), address);
+  const KeyOrderResult granted = Send(io, client, KeyOrder::Kind::kGrant);
+  cr_assert(granted.outcome == KeyOrderOutcome::kDone);
+  const KeyOrderResult renewed = Send(io, client, KeyOrder::Kind::kGrant);
+  cr_assert(renewed.outcome == expected, "the renewal counts as %s",
+            std::string(ToString(renewed.outcome)).c_str());
+  client.Close();
+}
+
 // The second copy of a grant's response arrives when the connection is in use
 // for a release, which the target has not carried out. Taken for its response,
 // it would let another target get the keys.
 Test(target_order_client, late_copy_of_a_response_does_not_complete_a_release) {
   FakeTarget target([](RawSocket& connection, const std::string& head) {
-    connection.ReadExactly(static_cast<std::size_t>(
-        std::atoi(HeaderOf(head, "Content-Length").c_str())));
+    ReadBody(connection, head);
     if (head.starts_with("POST /-/grant")) {
       connection.Send(kOk);
       // The copy follows once the client has begun to wait for its next
@@ -77,23 +95,14 @@
 Test(target_order_client, copy_behind_a_response_does_not_complete_a_grant) {
   std::atomic<int> grants = 0;
   FakeTarget target([&](RawSocket& connection, const std::string& head) {
-    connection.ReadExactly(static_cast<std::size_t>(
-        std::atoi(HeaderOf(head, "Content-Length").c_str())));
+    ReadBody(connection, head);
     if (++grants == 1) {
       return connection.Send(std::string(kOk) + kOk);
     }
     return connection.Send(
         "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n");
   });
-  boost::asio::io_context io;
-  TargetOrderClient client(io.get_executor(), target.address());
-  const KeyOrderResult granted = Send(io, client, KeyOrder::Kind::kGrant);
-  cr_assert(granted.outcome == KeyOrderOutcome::kDone);
-  const KeyOrderResult renewed = Send(io, client, KeyOrder::Kind::kGrant);
-  cr_assert(renewed.outcome == KeyOrderOutcome::kFenced,
-            "the renewal counts as %s",
-            std::string(ToString(renewed.outcome)).c_str());
-  client.Close();
+  RequireOutcomeOfRenewal(target.address(), KeyOrderOutcome::kFenced);
 }
 
 // Guards against a truncated response that counts as the execution of an order:
@@ -103,8 +112,7 @@
       "HTTP/1.1 200 OK\r\nHandover: h\r\nContent-Length: 2\r\n\r\n{}";
   for (std::size_t size = 0; size < response.size(); ++size) {
     FakeTarget target([&](RawSocket& connection, const std::string& head) {
-      connection.ReadExactly(static_cast<std::size_t>(
-          std::atoi(HeaderOf(head, "Content-Length").c_str())));
+      ReadBody(connection, head);
       connection.Send(response.substr(0, size));
       return false;
     });
@@ -125,8 +133,7 @@
   std::atomic<int> grants = 0;
   FakeTarget* listener = nullptr;
   FakeTarget target([&](RawSocket& connection, const std::string& head) {
-    connection.ReadExactly(static_cast<std::size_t>(
-        std::atoi(HeaderOf(head, "Content-Length").c_str())));
+    ReadBody(connection, head);
     if (++grants == 1) {
       return connection.Send(kOk);
     }
@@ -135,15 +142,7 @@
     return false;
   });
   listener = &target;
-  boost::asio::io_context io;
-  TargetOrderClient client(io.get_executor(), target.address());
-  const KeyOrderResult granted = Send(io, client, KeyOrder::Kind::kGrant);
-  cr_assert(granted.outcome == KeyOrderOutcome::kDone);
-  const KeyOrderResult renewed = Send(io, client, KeyOrder::Kind::kGrant);
-  cr_assert(renewed.outcome == KeyOrderOutcome::kUnknown,
-            "the renewal counts as %s",
-            std::string(ToString(renewed.outcome)).c_str());
-  client.Close();
+  RequireOutcomeOfRenewal(target.address(), KeyOrderOutcome::kUnknown);
 }
 
 }  // namespace
