--- a/src/coordination/target_chooser.h
+++ b/src/coordination/target_chooser.h
@@ -7,19 +7,12 @@
 #include <string>
 #include <vector>
 
+#include "state/reported_load.h"
 #include "state/routing_table.h"
 #include "state/types.h"
 
 namespace snipehall {
 
-// Load that a target reported with a response.
-struct ReportedLoad {
-  int outstanding = 0;
-  int slots = 0;
-
-  bool IsFull() const { return outstanding >= slots; }
-};
-
 struct TargetChooserOptions {
   ZoneName own_zone;
   int slots_per_endpoint = 1;
--- a/src/protocol/gateway_headers.cc
+++ b/src/protocol/gateway_headers.cc
@@ -21,6 +21,9 @@
 // Upper bound of the attempts that a forwarded request may have left.
 constexpr int kMaxAttemptsLeft = 100;
 
+// Upper bound of each figure of a reported load.
+constexpr int kMaxLoadFigure = 1'000'000;
+
 // Greatest time of a Retry-After header that is used.
 constexpr double kMaxPauseSeconds = 600;
 
@@ -35,18 +38,27 @@
   return parsed.ec == std::errc() && parsed.ptr == end;
 }
 
-// Parses "running,queued,slots". Returns nothing if the text is malformed.
+// Parses "running,waiting,slots" or "running,waiting,slots,slowdown_percent".
+// Returns nothing if the text is malformed.
 std::optional<ReportedLoad> ParseLoad(std::string_view text) {
-  std::array<int, 3> numbers = {};
-  for (std::size_t i = 0; i < numbers.size(); ++i) {
+  constexpr std::size_t kRequired = 3;
+  std::array<int, 4> numbers = {0, 0, 0, ReportedLoad().slowdown_percent};
+  std::size_t count = 0;
+  for (bool more = true; more; ++count) {
     const std::size_t comma = text.find(',');
-    if ((comma == std::string_view::npos) != (i + 1 == numbers.size()) ||
-        !ParseNumber(text.substr(0, comma), numbers[i]) || numbers[i] < 0) {
+    if (count == numbers.size() ||
+        !ParseNumber(text.substr(0, comma), numbers[count]) ||
+        numbers[count] < 0 || numbers[count] > kMaxLoadFigure) {
       return std::nullopt;
     }
-    text.remove_prefix(std::min(text.size(), comma + 1));
+    more = comma != std::string_view::npos;
+    text.remove_prefix(more ? comma + 1 : text.size());
+  }
+  if (count < kRequired) {
+    return std::nullopt;
   }
-  return ReportedLoad{numbers[0] + numbers[1], numbers[2]};
+  return ReportedLoad{numbers[0] + numbers[1], numbers[2], numbers[1],
+                      numbers[3]};
 }
 
 // Parses a non-negative decimal number. Returns nothing if the text is
--- a/src/protocol/gateway_headers.h
+++ b/src/protocol/gateway_headers.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <string_view>
 
-#include "coordination/target_chooser.h"
 #include "state/key_table.h"
+#include "state/reported_load.h"
 #include "state/result.h"
 #include "state/types.h"
 
