--- /dev/null
+++ b/src/coordination/completion_chooser.cc
@@ -0,0 +1,84 @@
+#include "coordination/completion_chooser.h"
+
+#include <algorithm>
+
+namespace snipehall {
+
+namespace {
+
+// Time that a target of another zone must save, relative to the mean service
+// time.
+constexpr double kZoneAdvantage = 0.3;
+
+// Weight of a busy slot against an idle one: a target with free slots takes the
+// next request at once.
+constexpr double kBusySlotWeight = 0.25;
+
+// Draws a candidate for which `is_eligible` holds, with a probability in
+// proportion to its capacity; null if there is none.
+template <typename Predicate>
+const CompletionCandidate* Draw(std::span<const CompletionCandidate> candidates,
+                                std::mt19937_64& random,
+                                Predicate is_eligible) {
+  const CompletionCandidate* drawn = nullptr;
+  double total = 0;
+  for (const CompletionCandidate& candidate : candidates) {
+    if (!is_eligible(candidate)) {
+      continue;
+    }
+    const double capacity = candidate.slots / candidate.relative_time;
+    total += capacity;
+    if (std::uniform_real_distribution<double>(0, total)(random) < capacity) {
+      drawn = &candidate;
+    }
+  }
+  return drawn;
+}
+
+// The better one of two candidates of the own zone, or of other zones.
+const CompletionCandidate* DrawBest(
+    std::span<const CompletionCandidate> candidates,
+    std::mt19937_64& random,
+    bool local) {
+  const CompletionCandidate* first =
+      Draw(candidates, random,
+           [local](const auto& item) { return item.local == local; });
+  const CompletionCandidate* second =
+      Draw(candidates, random, [local, first](const auto& item) {
+        return item.local == local && &item != first;
+      });
+  return second != nullptr && second->Completion() < first->Completion()
+             ? second
+             : first;
+}
+
+}  // namespace
+
+double CompletionCandidate::QueueLength() const {
+  return std::max(0.0, outstanding + 1 - slots) / slots;
+}
+
+double CompletionCandidate::Completion() const {
+  return relative_time *
+         (1 + QueueLength() + kBusySlotWeight * outstanding / slots);
+}
+
+std::optional<std::size_t> ChooseByCompletion(
+    std::span<const CompletionCandidate> candidates,
+    std::mt19937_64& random) {
+  const CompletionCandidate* local = DrawBest(candidates, random, true);
+  if (local != nullptr && local->QueueLength() <= 0) {
+    return local->index;
+  }
+  const CompletionCandidate* remote = DrawBest(candidates, random, false);
+  if (local == nullptr && remote == nullptr) {
+    return std::nullopt;
+  }
+  const bool take_remote =
+      local == nullptr ||
+      (remote != nullptr &&
+       remote->Completion() + kZoneAdvantage < local->Completion());
+  return take_remote ? remote->index : local->index;
+}
+
+}  // namespace snipehall
--- a/src/coordination/key_leader.cc
+++ b/src/coordination/key_leader.cc
@@ -455,6 +455,24 @@
   return true;
 }
 
+std::map<ServiceName, KeyFractions, std::less<>> KeyLeader::PlanKeyAdmissions(
+    MonotonicTime now) const {
+  std::map<ServiceName, KeyFractions, std::less<>> admissions;
+  for (const ServiceName& service : m_services) {
+    const auto load = m_loads.find(service);
+    const auto ranges = m_table.services.find(service);
+    if (load == m_loads.end() || ranges == m_table.services.end()) {
+      continue;
+    }
+    KeyFractions busy = KeyAdmissionPlanner::Plan(
+        now, ranges->second, Candidates(service), load->second);
+    if (!busy.empty()) {
+      admissions.emplace(service, std::move(busy));
+    }
+  }
+  return admissions;
+}
+
 std::optional<KeyTable> KeyLeader::NextTable(MonotonicTime now,
                                              bool take_over) {
   if (!IsLeader(now)) {
--- a/src/coordination/key_leader.h
+++ b/src/coordination/key_leader.h
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "coordination/key_admission_planner.h"
 #include "coordination/key_load.h"
 #include "coordination/key_planner.h"
 #include "coordination/leader_message.h"
@@ -215,6 +216,11 @@
   // leader then probes the target.
   void OnTargetUnreachable(MonotonicTime now, std::string_view target);
 
+  // Returns the busy keys of each keyed service, of whose requests only a part
+  // may be sent; see KeyAdmissionPlanner.
+  std::map<ServiceName, KeyFractions, std::less<>> PlanKeyAdmissions(
+      MonotonicTime now) const;
+
   // Call when an instance asks for a permit for a request to the target, which
   // has named the limit `limit`, requests per second above zero. Its keys are
   // then balanced by that.
--- a/src/coordination/leader_message.h
+++ b/src/coordination/leader_message.h
@@ -6,7 +6,9 @@
 #include <variant>
 #include <vector>
 
+#include "coordination/key_admission_planner.h"
 #include "coordination/key_load.h"
+#include "coordination/target_load_table.h"
 #include "state/key_table.h"
 #include "state/types.h"
 
@@ -28,6 +30,8 @@
   std::set<ServiceName, std::less<>> cut_off_services;
   // The instance is shutting down, so that none forwards requests to it.
   bool shutting_down = false;
+  // Load and speed of targets that the instance has seen since its last report.
+  std::vector<TargetLoadSample> target_loads;
 };
 
 // Response of the leader to a report.
@@ -41,6 +45,12 @@
   // For each service of which the receiver reaches no target: "address:port" of
   // instances that serve requests for it.
   std::map<ServiceName, std::vector<std::string>, std::less<>> forwarders;
+  // Load and speed of targets by the reports of all instances; see
+  // TargetLoadCollector.
+  std::vector<TargetLoadSummary> target_loads;
+  // Part of the requests for busy keys that may be sent; see
+  // KeyAdmissionPlanner.
+  std::map<ServiceName, KeyFractions, std::less<>> key_admissions;
 };
 
 // Announces completed moves of keys to the other instances, so that the leader
--- a/src/coordination/target_chooser.cc
+++ b/src/coordination/target_chooser.cc
@@ -60,9 +60,79 @@
   m_entries = std::move(entries);
 }
 
+bool TargetChooser::IsEligible(MonotonicTime now,
+                               std::size_t index,
+                               std::span<const TargetId> excluded) const {
+  const Entry& entry = m_entries[index];
+  return !entry.draining && !IsStalled(now, index) &&
+         std::find(excluded.begin(), excluded.end(), entry.id) ==
+             excluded.end();
+}
+
+CompletionCandidate TargetChooser::Candidate(MonotonicTime now,
+                                             std::size_t index) const {
+  const Entry& entry = m_entries[index];
+  CompletionCandidate candidate{index, entry.local, double(entry.slots),
+                                double(entry.outstanding), 1};
+  const auto estimate = m_load_table == nullptr
+                            ? std::nullopt
+                            : m_load_table->Find(now, entry.id);
+  if (estimate) {
+    candidate.relative_time = estimate->relative_time;
+    if (estimate->outstanding) {
+      // The report includes this instance's own requests.
+      candidate.slots = estimate->slots;
+      candidate.outstanding =
+          std::max(entry.outstanding, *estimate->outstanding);
+    }
+  }
+  candidate.slots *= SlowStartFactor(now, entry);
+  candidate.outstanding += FailurePenalty(now, entry);
+  return candidate;
+}
+
+std::optional<std::size_t> TargetChooser::ChooseByEstimates(
+    MonotonicTime now,
+    std::span<const TargetId> excluded) {
+  std::vector<CompletionCandidate> candidates;
+  candidates.reserve(m_entries.size());
+  bool any_reachable = false;
+  for (std::size_t i = 0; i < m_entries.size(); ++i) {
+    if (!IsEligible(now, i, excluded)) {
+      continue;
+    }
+    const bool reachable = now >= m_entries[i].backoff_until;
+    if (reachable && !any_reachable) {
+      candidates.clear();
+    }
+    any_reachable = any_reachable || reachable;
+    if (reachable || !any_reachable) {
+      candidates.push_back(Candidate(now, i));
+    }
+  }
+  return ChooseByCompletion(candidates, m_random);
+}
+
+TargetOutlook TargetChooser::Outlook(MonotonicTime now,
+                                     std::string_view target) const {
+  const auto found =
+      std::find_if(m_entries.begin(), m_entries.end(),
+                   [target](const Entry& entry) { return entry.id == target; });
+  if (found == m_entries.end()) {
+    return {};
+  }
+  const CompletionCandidate candidate =
+      Candidate(now, static_cast<std::size_t>(found - m_entries.begin()));
+  return {candidate.QueueLength() * candidate.relative_time,
+          candidate.relative_time};
+}
+
 std::optional<std::size_t> TargetChooser::Choose(
     MonotonicTime now,
     std::span<const TargetId> excluded) {
+  if (m_load_table != nullptr) {
+    return ChooseByEstimates(now, excluded);
+  }
   double best_score = std::numeric_limits<double>::infinity();
   bool best_local = false;
   bool best_reachable = false;
@@ -70,9 +140,7 @@
   std::size_t ties = 0;
   for (std::size_t i = 0; i < m_entries.size(); ++i) {
     const Entry& entry = m_entries[i];
-    if (entry.draining || IsStalled(now, i) ||
-        std::find(excluded.begin(), excluded.end(), entry.id) !=
-            excluded.end()) {
+    if (!IsEligible(now, i, excluded)) {
       continue;
     }
     const bool reachable = now >= entry.backoff_until;
--- a/src/coordination/target_chooser.h
+++ b/src/coordination/target_chooser.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include "coordination/completion_chooser.h"
+#include "coordination/target_load_table.h"
 #include "state/reported_load.h"
 #include "state/routing_table.h"
 #include "state/types.h"
@@ -37,6 +39,15 @@
   Milliseconds failure_penalty{1000};
 };
 
+// Expected time of a new request at a target, in mean service times of its
+// route.
+struct TargetOutlook {
+  // Time in the target's queue.
+  double wait = 0;
+  // Time in work after that.
+  double service = 1;
+};
+
 // Load balancer of a service that is not keyed: chooses the target of each
 // request by least load, and prefers the instance's own zone.
 //
@@ -45,11 +56,18 @@
 // reported adds the work of other instances, with less weight as it ages,
 // because reports lag. Each recent failure counts as outstanding work, so that
 // a target that fails fast does not look idle.
+//
+// With a TargetLoadTable, targets are chosen by their learned speed and by the
+// loads that all instances have seen; see ChooseByCompletion().
 class TargetChooser {
  public:
   // Fails with kInvalidArgument when slots_per_endpoint is below 1.
   static Result<TargetChooser> Create(TargetChooserOptions options);
 
+  // Uses the table's estimates from now on, or none if it is null. The table
+  // must outlive this object.
+  void set_load_table(const TargetLoadTable* table) { m_load_table = table; }
+
   // Replaces the list of targets. The state of targets that stay is kept.
   void SetTargets(MonotonicTime now, std::span<const RouteTarget> targets);
 
@@ -60,6 +78,10 @@
   std::optional<std::size_t> Choose(MonotonicTime now,
                                     std::span<const TargetId> excluded = {});
 
+  // Returns the expected times of a new request to the target; it must be known
+  // to SetTargets().
+  TargetOutlook Outlook(MonotonicTime now, std::string_view target) const;
+
   // Call when a request was sent to the target.
   void OnSent(MonotonicTime now, std::string_view target);
   // Call when bytes were transferred in either direction.
@@ -120,6 +142,15 @@
   explicit TargetChooser(TargetChooserOptions options);
 
   Entry* Find(std::string_view target);
+  // Whether a request that has tried `excluded` may be sent to the target.
+  bool IsEligible(MonotonicTime now,
+                  std::size_t index,
+                  std::span<const TargetId> excluded) const;
+  // The target's state as ChooseByCompletion() needs it.
+  CompletionCandidate Candidate(MonotonicTime now, std::size_t index) const;
+  std::optional<std::size_t> ChooseByEstimates(
+      MonotonicTime now,
+      std::span<const TargetId> excluded);
   // Returns the current weight of recent failures, in outstanding requests.
   double FailurePenalty(MonotonicTime now, const Entry& entry) const;
   // Returns the fraction of its capacity that a target in slow start may use, 1
@@ -127,6 +158,7 @@
   double SlowStartFactor(MonotonicTime now, const Entry& entry) const;
 
   TargetChooserOptions m_options;
+  const TargetLoadTable* m_load_table = nullptr;
   std::vector<Entry> m_entries;
   std::mt19937_64 m_random;
 };
--- /dev/null
+++ b/src/coordination/target_load_collector.cc
@@ -0,0 +1,129 @@
+#include "coordination/target_load_collector.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace snipehall {
+
+namespace {
+
+// Factor by which the weight of earlier responses falls for `responses` new
+// ones, so that about `sample` responses count.
+double Decay(double sample, double responses) {
+  return std::exp(-responses / sample);
+}
+
+}  // namespace
+
+double TargetLoadCollector::Entry::Time() const {
+  return (slow_time + kPriorResponses) / (slow_responses + kPriorResponses);
+}
+
+void TargetLoadCollector::AddResponses(Entry& entry,
+                                       double responses,
+                                       double time) {
+  const double slow_decay = Decay(kSlowSample, responses);
+  entry.slow_responses = entry.slow_responses * slow_decay + responses;
+  entry.slow_time = entry.slow_time * slow_decay + time;
+  const double fast_decay = Decay(kFastSample, responses);
+  entry.fast_responses = entry.fast_responses * fast_decay + responses;
+  entry.fast_time = entry.fast_time * fast_decay + time;
+  if (entry.fast_responses < kFastSample / 2) {
+    return;
+  }
+  const double fast = entry.fast_time / entry.fast_responses;
+  const double slow = entry.slow_time / entry.slow_responses;
+  if (fast > slow * kChangeFactor || slow > fast * kChangeFactor) {
+    entry.slow_responses = entry.fast_responses;
+    entry.slow_time = entry.fast_time;
+  }
+}
+
+void TargetLoadCollector::OnReport(MonotonicTime now,
+                                   std::span<const TargetLoadSample> samples) {
+  for (const TargetLoadSample& sample : samples) {
+    Entry& entry = m_targets[sample.target];
+    const MonotonicTime loaded_at = now - sample.age;
+    if (sample.slots > 0 &&
+        (!entry.loaded_at || *entry.loaded_at < loaded_at)) {
+      entry.outstanding = sample.outstanding;
+      entry.slots = sample.slots;
+      entry.loaded_at = loaded_at;
+    }
+    if (sample.responses > 0) {
+      AddResponses(entry, sample.responses, sample.relative_time_sum);
+    }
+  }
+}
+
+void TargetLoadCollector::Normalize(const TargetList& targets) {
+  std::erase_if(m_targets, [&targets](const auto& item) {
+    return !targets.contains(item.first);
+  });
+  struct Sum {
+    double time = 0;
+    double targets = 0;
+  };
+  std::map<std::string_view, Sum> sums;
+  for (const auto& [id, entry] : m_targets) {
+    Sum& sum = sums[targets.find(id)->second.service];
+    sum.time += entry.Time();
+    sum.targets += 1;
+  }
+  for (auto& [id, entry] : m_targets) {
+    const Sum& sum = sums[targets.find(id)->second.service];
+    entry.relative_time = entry.Time() * sum.targets / sum.time;
+  }
+}
+
+TargetLoadSummary TargetLoadCollector::Summarize(MonotonicTime now,
+                                                 const TargetId& id,
+                                                 const Entry& entry) {
+  TargetLoadSummary summary;
+  summary.target = id;
+  summary.relative_time = entry.relative_time;
+  if (entry.loaded_at && now - *entry.loaded_at < kMaxAge) {
+    summary.outstanding = entry.outstanding;
+    summary.slots = entry.slots;
+    summary.age =
+        std::chrono::duration_cast<Milliseconds>(now - *entry.loaded_at);
+  }
+  return summary;
+}
+
+bool TargetLoadCollector::IsFull(MonotonicTime now, const Entry& entry) {
+  return entry.loaded_at && now - *entry.loaded_at < kMaxAge &&
+         entry.outstanding >= entry.slots;
+}
+
+std::vector<TargetLoadSummary> TargetLoadCollector::NextSummary(
+    MonotonicTime now,
+    const TargetList& targets,
+    const std::set<ServiceName, std::less<>>& keyed_services) {
+  Normalize(targets);
+  std::vector<TargetLoadSummary> summary;
+  auto next = m_targets.lower_bound(m_next);
+  for (std::size_t i = 0;
+       i < m_targets.size() && summary.size() < kMaxSummaryTargets; ++i) {
+    if (next == m_targets.end()) {
+      next = m_targets.begin();
+    }
+    const auto& [id, entry] = *next;
+    const bool is_keyed =
+        keyed_services.contains(targets.find(id)->second.service);
+    if (!is_keyed || IsFull(now, entry)) {
+      summary.push_back(Summarize(now, id, entry));
+    }
+    ++next;
+  }
+  m_next = next == m_targets.end() ? TargetId() : next->first;
+  return summary;
+}
+
+double TargetLoadCollector::RelativeTime(std::string_view target) const {
+  const auto found = m_targets.find(target);
+  return found == m_targets.end() ? 1 : found->second.relative_time;
+}
+
+}  // namespace snipehall
--- a/src/coordination/target_load_table.h
+++ b/src/coordination/target_load_table.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -14,11 +15,12 @@
 // What one instance has learned of a target since its last report.
 struct TargetLoadSample {
   TargetId target;
-  // Requests at the target by its newest report, and the age of that report.
+  // Requests at the target by its newest report, and the age of that report;
+  // `slots` is zero if there is none.
   int outstanding = 0;
   int slots = 0;
   Milliseconds age{0};
-  // Responses without queueing, and the sum of their service times, each
+  // Responses that did not queue, and the sum of their service times, each
   // relative to the mean service time of its route at this instance.
   std::uint32_t responses = 0;
   double relative_time_sum = 0;
@@ -29,32 +31,25 @@
 // What the leader knows of a target by the reports of all instances.
 struct TargetLoadSummary {
   TargetId target;
-  // Requests at the target by the newest report, and the age of that report.
+  // As in TargetLoadSample.
   int outstanding = 0;
   int slots = 0;
   Milliseconds age{0};
   // Service time relative to the mean of the service's targets; 2 is half as
   // fast.
   double relative_time = 1;
-  // Fraction of the requests for the target's keys that may be sent to it, from
-  // 0 to 1; below 1 when its keys have more requests than it can serve.
-  double admitted_fraction = 1;
 
   bool operator==(const TargetLoadSummary&) const = default;
 };
 
 // The present estimate of a target's load and speed.
 struct TargetLoadEstimate {
-  // Requests at the target, of all instances; nothing when no recent report is
-  // known.
-  std::optional<double> outstanding;
+  // Requests at the target, of all instances, and its slots; nothing when no
+  // recent report is known.
+  std::optional<int> outstanding;
   int slots = 1;
+  // See TargetLoadSummary.
   double relative_time = 1;
-  double admitted_fraction = 1;
-  // Service time of a request of the given route without queueing, and the
-  // expected time in the target's queue before it.
-  Milliseconds service_time{0};
-  Milliseconds expected_wait{0};
 };
 
 // Estimates the load and the speed of targets, from the responses that this
@@ -66,25 +61,44 @@
 // observations count.
 class TargetLoadTable {
  public:
+  // Age from which on the load of a report is unknown.
+  static constexpr Milliseconds kReportLifetime{1500};
+  // Age from which on a summary's estimates are ignored; see Find().
+  static constexpr Milliseconds kSummaryLifetime{3000};
+  // Number of responses over which the mean service time of a route is taken.
+  static constexpr double kRouteSample = 64;
+  // Bounds of a relative time.
+  static constexpr double kMinRelativeTime = 0.1;
+  static constexpr double kMaxRelativeTime = 20;
+  // Relative time as which a failure counts.
+  static constexpr double kFailureTime = 5;
+
   // Call for each complete response of a target to a request of `route`, which
   // took `elapsed` since it was sent.
   void OnResponse(MonotonicTime now,
-                  std::string_view service,
                   std::string_view target,
                   std::string_view route,
                   Milliseconds elapsed,
                   const std::optional<ReportedLoad>& load);
-  // Call for each summary of the leader. A summary may lack targets.
+  // Call when a request to the target failed there, or took until its deadline:
+  // for callers, such a target is a slow one.
+  void OnFailure(std::string_view target);
+  // Call for each refusal of a target that states its load.
+  void OnReportedLoad(MonotonicTime now,
+                      std::string_view target,
+                      const ReportedLoad& load);
+  // Call for each summary of the leader; it may lack targets.
   void OnSummary(MonotonicTime now,
                  const std::vector<TargetLoadSummary>& summary);
   // Returns what was learned since the last call, for a report to the leader.
   std::vector<TargetLoadSample> TakeReport(MonotonicTime now);
 
-  // Returns the estimate for a request of `route` to `target`; nothing if
-  // nothing is known of the target.
+  // Returns the estimate for the target; nothing if nothing is known of it.
   std::optional<TargetLoadEstimate> Find(MonotonicTime now,
-                                         std::string_view target,
-                                         std::string_view route) const;
+                                         std::string_view target) const;
+  // Mean service time of the route's requests over all targets; nothing before
+  // the first response without queueing.
+  std::optional<Milliseconds> ServiceTime(std::string_view route) const;
 
   // Forgets the targets for which `is_known` returns false.
   template <typename Predicate>
@@ -96,14 +110,26 @@
  private:
   struct Entry {
     ReportedLoad load;
-    std::optional<MonotonicTime> reported_at;
-    TargetLoadSample unreported;
+    // When the target sent `load`.
+    std::optional<MonotonicTime> loaded_at;
+    // Whether `load` is from a response to this instance, not yet reported.
+    bool is_unreported = false;
+    std::uint32_t responses = 0;
+    double relative_time_sum = 0;
     double relative_time = 1;
-    double admitted_fraction = 1;
-    MonotonicTime summary_at;
+    std::optional<MonotonicTime> summary_at;
+  };
+
+  // Mean service time of a route, seconds.
+  struct RouteTime {
+    double seconds = 0;
+    double responses = 0;
   };
 
+  Entry& FindOrAdd(std::string_view target);
+
   std::map<TargetId, Entry, std::less<>> m_targets;
+  std::map<std::string, RouteTime, std::less<>> m_routes;
 };
 
 }  // namespace snipehall
--- a/src/protocol/lead_message.capnp
+++ b/src/protocol/lead_message.capnp
@@ -53,6 +53,39 @@
   cutOff @4 :List(Text);
   # The sender is shutting down.
   shuttingDown @5 :Bool;
+  # Load and speed of targets that the sender has seen since its last report.
+  targetLoads @6 :List(TargetLoadSample);
+}
+
+struct TargetLoadSample {
+  target @0 :Text;
+  # Requests at the target and its slots by its newest report, and the age of that
+  # report in milliseconds; no slots without one.
+  outstanding @1 :UInt16;
+  slots @2 :UInt16;
+  ageMs @3 :UInt16;
+  # Responses without queueing, and the sum of their service times, each relative to
+  # the mean of its route.
+  responses @4 :UInt16;
+  relativeTimeSum @5 :Float32;
+}
+
+struct TargetLoadSummary {
+  target @0 :Text;
+  # As in TargetLoadSample.
+  outstanding @1 :UInt16;
+  slots @2 :UInt16;
+  ageMs @3 :UInt16;
+  # Service time relative to the mean of the service's targets, in percent.
+  relativeTimePercent @4 :UInt16 = 100;
+}
+
+struct KeyAdmissions {
+  service @0 :Text;
+  # Keys with more requests than their owner can serve, and for each the part of its
+  # requests that may be sent, in thousandths.
+  keys @1 :List(UInt16);
+  admittedPerMille @2 :List(UInt16);
 }
 
 struct Serving {
@@ -66,6 +99,10 @@
   # For each service of which the receiver reaches no target: instances that serve
   # requests for it.
   forwarders @3 :List(Forwarders);
+  # Load and speed of targets by the reports of all instances.
+  targetLoads @4 :List(TargetLoadSummary);
+  # The busy keys of which only a part of the requests may be sent.
+  keyAdmissions @5 :List(KeyAdmissions);
 }
 
 struct Forwarders {
--- a/src/protocol/lead_message.capnp.h
+++ b/src/protocol/lead_message.capnp.h
@@ -18,6 +18,9 @@
 
 CAPNP_DECLARE_SCHEMA(9fed3600d6188081);
 CAPNP_DECLARE_SCHEMA(f22ece0f93db5bf7);
+CAPNP_DECLARE_SCHEMA(90ab0958fab3dd06);
+CAPNP_DECLARE_SCHEMA(e6b06e6ff1ed8f68);
+CAPNP_DECLARE_SCHEMA(efddb7512a5303b6);
 CAPNP_DECLARE_SCHEMA(afe7dc51da1b3174);
 CAPNP_DECLARE_SCHEMA(d2536888ae269058);
 CAPNP_DECLARE_SCHEMA(e525d6843db21571);
@@ -71,7 +74,52 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f22ece0f93db5bf7, 1, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(f22ece0f93db5bf7, 1, 5)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct TargetLoadSample {
+  TargetLoadSample() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(90ab0958fab3dd06, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct TargetLoadSummary {
+  TargetLoadSummary() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e6b06e6ff1ed8f68, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct KeyAdmissions {
+  KeyAdmissions() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(efddb7512a5303b6, 0, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -86,7 +134,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(afe7dc51da1b3174, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(afe7dc51da1b3174, 1, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -463,6 +511,9 @@
 
   inline bool getShuttingDown() const;
 
+  inline bool hasTargetLoads() const;
+  inline  ::capnp::List< ::snipehall::wire::TargetLoadSample,  ::capnp::Kind::STRUCT>::Reader getTargetLoads() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -523,8 +574,326 @@
   inline void adoptCutOff(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownCutOff();
 
-  inline bool getShuttingDown();
-  inline void setShuttingDown(bool value);
+  inline bool getShuttingDown();
+  inline void setShuttingDown(bool value);
+
+  inline bool hasTargetLoads();
+  inline  ::capnp::List< ::snipehall::wire::TargetLoadSample,  ::capnp::Kind::STRUCT>::Builder getTargetLoads();
+  inline void setTargetLoads( ::capnp::List< ::snipehall::wire::TargetLoadSample,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::snipehall::wire::TargetLoadSample,  ::capnp::Kind::STRUCT>::Builder initTargetLoads(unsigned int size);
+  inline void adoptTargetLoads(::capnp::Orphan< ::capnp::List< ::snipehall::wire::TargetLoadSample,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::snipehall::wire::TargetLoadSample,  ::capnp::Kind::STRUCT>> disownTargetLoads();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Report::Pipeline {
+public:
+  typedef Report Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::snipehall::wire::LoadReport::Pipeline getLoad();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class TargetLoadSample::Reader {
+public:
+  typedef TargetLoadSample Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTarget() const;
+  inline  ::capnp::Text::Reader getTarget() const;
+
+  inline  ::uint16_t getOutstanding() const;
+
+  inline  ::uint16_t getSlots() const;
+
+  inline  ::uint16_t getAgeMs() const;
+
+  inline  ::uint16_t getResponses() const;
+
+  inline float getRelativeTimeSum() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TargetLoadSample::Builder {
+public:
+  typedef TargetLoadSample Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTarget();
+  inline  ::capnp::Text::Builder getTarget();
+  inline void setTarget( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+
+  inline  ::uint16_t getOutstanding();
+  inline void setOutstanding( ::uint16_t value);
+
+  inline  ::uint16_t getSlots();
+  inline void setSlots( ::uint16_t value);
+
+  inline  ::uint16_t getAgeMs();
+  inline void setAgeMs( ::uint16_t value);
+
+  inline  ::uint16_t getResponses();
+  inline void setResponses( ::uint16_t value);
+
+  inline float getRelativeTimeSum();
+  inline void setRelativeTimeSum(float value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TargetLoadSample::Pipeline {
+public:
+  typedef TargetLoadSample Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class TargetLoadSummary::Reader {
+public:
+  typedef TargetLoadSummary Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTarget() const;
+  inline  ::capnp::Text::Reader getTarget() const;
+
+  inline  ::uint16_t getOutstanding() const;
+
+  inline  ::uint16_t getSlots() const;
+
+  inline  ::uint16_t getAgeMs() const;
+
+  inline  ::uint16_t getRelativeTimePercent() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TargetLoadSummary::Builder {
+public:
+  typedef TargetLoadSummary Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTarget();
+  inline  ::capnp::Text::Builder getTarget();
+  inline void setTarget( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+
+  inline  ::uint16_t getOutstanding();
+  inline void setOutstanding( ::uint16_t value);
+
+  inline  ::uint16_t getSlots();
+  inline void setSlots( ::uint16_t value);
+
+  inline  ::uint16_t getAgeMs();
+  inline void setAgeMs( ::uint16_t value);
+
+  inline  ::uint16_t getRelativeTimePercent();
+  inline void setRelativeTimePercent( ::uint16_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TargetLoadSummary::Pipeline {
+public:
+  typedef TargetLoadSummary Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class KeyAdmissions::Reader {
+public:
+  typedef KeyAdmissions Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasKeys() const;
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getKeys() const;
+
+  inline bool hasAdmittedPerMille() const;
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getAdmittedPerMille() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class KeyAdmissions::Builder {
+public:
+  typedef KeyAdmissions Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasKeys();
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getKeys();
+  inline void setKeys( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setKeys(::kj::ArrayPtr<const  ::uint16_t> value);
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initKeys(unsigned int size);
+  inline void adoptKeys(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownKeys();
+
+  inline bool hasAdmittedPerMille();
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getAdmittedPerMille();
+  inline void setAdmittedPerMille( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setAdmittedPerMille(::kj::ArrayPtr<const  ::uint16_t> value);
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initAdmittedPerMille(unsigned int size);
+  inline void adoptAdmittedPerMille(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownAdmittedPerMille();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -536,15 +905,14 @@
 };
 
 #if !CAPNP_LITE
-class Report::Pipeline {
+class KeyAdmissions::Pipeline {
 public:
-  typedef Report Pipelines;
+  typedef KeyAdmissions Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::snipehall::wire::LoadReport::Pipeline getLoad();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -580,6 +948,12 @@
   inline bool hasForwarders() const;
   inline  ::capnp::List< ::snipehall::wire::Forwarders,  ::capnp::Kind::STRUCT>::Reader getForwarders() const;
 
+  inline bool hasTargetLoads() const;
+  inline  ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>::Reader getTargetLoads() const;
+
+  inline bool hasKeyAdmissions() const;
+  inline  ::capnp::List< ::snipehall::wire::KeyAdmissions,  ::capnp::Kind::STRUCT>::Reader getKeyAdmissions() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -628,6 +1002,20 @@
   inline void adoptForwarders(::capnp::Orphan< ::capnp::List< ::snipehall::wire::Forwarders,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::snipehall::wire::Forwarders,  ::capnp::Kind::STRUCT>> disownForwarders();
 
+  inline bool hasTargetLoads();
+  inline  ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>::Builder getTargetLoads();
+  inline void setTargetLoads( ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>::Builder initTargetLoads(unsigned int size);
+  inline void adoptTargetLoads(::capnp::Orphan< ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>> disownTargetLoads();
+
+  inline bool hasKeyAdmissions();
+  inline  ::capnp::List< ::snipehall::wire::KeyAdmissions,  ::capnp::Kind::STRUCT>::Builder getKeyAdmissions();
+  inline void setKeyAdmissions( ::capnp::List< ::snipehall::wire::KeyAdmissions,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::snipehall::wire::KeyAdmissions,  ::capnp::Kind::STRUCT>::Builder initKeyAdmissions(unsigned int size);
+  inline void adoptKeyAdmissions(::capnp::Orphan< ::capnp::List< ::snipehall::wire::KeyAdmissions,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::snipehall::wire::KeyAdmissions,  ::capnp::Kind::STRUCT>> disownKeyAdmissions();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2168,6 +2556,344 @@
       ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Report::Reader::hasTargetLoads() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Report::Builder::hasTargetLoads() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::snipehall::wire::TargetLoadSample,  ::capnp::Kind::STRUCT>::Reader Report::Reader::getTargetLoads() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::TargetLoadSample,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::snipehall::wire::TargetLoadSample,  ::capnp::Kind::STRUCT>::Builder Report::Builder::getTargetLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::TargetLoadSample,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Report::Builder::setTargetLoads( ::capnp::List< ::snipehall::wire::TargetLoadSample,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::TargetLoadSample,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::snipehall::wire::TargetLoadSample,  ::capnp::Kind::STRUCT>::Builder Report::Builder::initTargetLoads(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::TargetLoadSample,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Report::Builder::adoptTargetLoads(
+    ::capnp::Orphan< ::capnp::List< ::snipehall::wire::TargetLoadSample,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::TargetLoadSample,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::snipehall::wire::TargetLoadSample,  ::capnp::Kind::STRUCT>> Report::Builder::disownTargetLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::TargetLoadSample,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool TargetLoadSample::Reader::hasTarget() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool TargetLoadSample::Builder::hasTarget() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader TargetLoadSample::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder TargetLoadSample::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TargetLoadSample::Builder::setTarget( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder TargetLoadSample::Builder::initTarget(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void TargetLoadSample::Builder::adoptTarget(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> TargetLoadSample::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint16_t TargetLoadSample::Reader::getOutstanding() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t TargetLoadSample::Builder::getOutstanding() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TargetLoadSample::Builder::setOutstanding( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t TargetLoadSample::Reader::getSlots() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t TargetLoadSample::Builder::getSlots() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void TargetLoadSample::Builder::setSlots( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t TargetLoadSample::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t TargetLoadSample::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void TargetLoadSample::Builder::setAgeMs( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t TargetLoadSample::Reader::getResponses() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t TargetLoadSample::Builder::getResponses() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void TargetLoadSample::Builder::setResponses( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline float TargetLoadSample::Reader::getRelativeTimeSum() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline float TargetLoadSample::Builder::getRelativeTimeSum() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void TargetLoadSample::Builder::setRelativeTimeSum(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TargetLoadSummary::Reader::hasTarget() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool TargetLoadSummary::Builder::hasTarget() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader TargetLoadSummary::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder TargetLoadSummary::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TargetLoadSummary::Builder::setTarget( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder TargetLoadSummary::Builder::initTarget(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void TargetLoadSummary::Builder::adoptTarget(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> TargetLoadSummary::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint16_t TargetLoadSummary::Reader::getOutstanding() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t TargetLoadSummary::Builder::getOutstanding() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TargetLoadSummary::Builder::setOutstanding( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t TargetLoadSummary::Reader::getSlots() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t TargetLoadSummary::Builder::getSlots() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void TargetLoadSummary::Builder::setSlots( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t TargetLoadSummary::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t TargetLoadSummary::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void TargetLoadSummary::Builder::setAgeMs( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t TargetLoadSummary::Reader::getRelativeTimePercent() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, 100u);
+}
+
+inline  ::uint16_t TargetLoadSummary::Builder::getRelativeTimePercent() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, 100u);
+}
+inline void TargetLoadSummary::Builder::setRelativeTimePercent( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value, 100u);
+}
+
+inline bool KeyAdmissions::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool KeyAdmissions::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader KeyAdmissions::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder KeyAdmissions::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void KeyAdmissions::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder KeyAdmissions::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void KeyAdmissions::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> KeyAdmissions::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool KeyAdmissions::Reader::hasKeys() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool KeyAdmissions::Builder::hasKeys() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader KeyAdmissions::Reader::getKeys() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder KeyAdmissions::Builder::getKeys() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void KeyAdmissions::Builder::setKeys( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void KeyAdmissions::Builder::setKeys(::kj::ArrayPtr<const  ::uint16_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder KeyAdmissions::Builder::initKeys(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void KeyAdmissions::Builder::adoptKeys(
+    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> KeyAdmissions::Builder::disownKeys() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool KeyAdmissions::Reader::hasAdmittedPerMille() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool KeyAdmissions::Builder::hasAdmittedPerMille() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader KeyAdmissions::Reader::getAdmittedPerMille() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder KeyAdmissions::Builder::getAdmittedPerMille() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void KeyAdmissions::Builder::setAdmittedPerMille( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void KeyAdmissions::Builder::setAdmittedPerMille(::kj::ArrayPtr<const  ::uint16_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder KeyAdmissions::Builder::initAdmittedPerMille(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void KeyAdmissions::Builder::adoptAdmittedPerMille(
+    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> KeyAdmissions::Builder::disownAdmittedPerMille() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool Serving::Reader::hasReader() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2264,6 +2990,74 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Serving::Reader::hasTargetLoads() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Serving::Builder::hasTargetLoads() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>::Reader Serving::Reader::getTargetLoads() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>::Builder Serving::Builder::getTargetLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Serving::Builder::setTargetLoads( ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>::Builder Serving::Builder::initTargetLoads(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Serving::Builder::adoptTargetLoads(
+    ::capnp::Orphan< ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>> Serving::Builder::disownTargetLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool Serving::Reader::hasKeyAdmissions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Serving::Builder::hasKeyAdmissions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::snipehall::wire::KeyAdmissions,  ::capnp::Kind::STRUCT>::Reader Serving::Reader::getKeyAdmissions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::KeyAdmissions,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::snipehall::wire::KeyAdmissions,  ::capnp::Kind::STRUCT>::Builder Serving::Builder::getKeyAdmissions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::KeyAdmissions,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Serving::Builder::setKeyAdmissions( ::capnp::List< ::snipehall::wire::KeyAdmissions,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::KeyAdmissions,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::snipehall::wire::KeyAdmissions,  ::capnp::Kind::STRUCT>::Builder Serving::Builder::initKeyAdmissions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::KeyAdmissions,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Serving::Builder::adoptKeyAdmissions(
+    ::capnp::Orphan< ::capnp::List< ::snipehall::wire::KeyAdmissions,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::KeyAdmissions,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::snipehall::wire::KeyAdmissions,  ::capnp::Kind::STRUCT>> Serving::Builder::disownKeyAdmissions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::KeyAdmissions,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline bool Forwarders::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/protocol/leader_message_codec.cc
+++ b/src/protocol/leader_message_codec.cc
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <utility>
 
 #include "protocol/lead_message.capnp.h"
@@ -56,6 +57,48 @@
   }
 }
 
+// Clamps a count to what its field can hold.
+std::uint16_t ToField(std::int64_t value) {
+  return static_cast<std::uint16_t>(std::clamp<std::int64_t>(
+      value, 0, std::numeric_limits<std::uint16_t>::max()));
+}
+
+std::vector<TargetLoadSample> ReadTargetLoads(
+    capnp::List<wire::TargetLoadSample>::Reader reader) {
+  std::vector<TargetLoadSample> samples;
+  for (const auto item : reader) {
+    TargetLoadSample sample{FromText(item.getTarget()),
+                            item.getOutstanding(),
+                            item.getSlots(),
+                            Milliseconds(item.getAgeMs()),
+                            item.getResponses(),
+                            item.getRelativeTimeSum()};
+    const double most = sample.responses * TargetLoadTable::kMaxRelativeTime;
+    // Also false for a sum that is not a number.
+    const bool in_range =
+        sample.relative_time_sum >= 0 && sample.relative_time_sum <= most;
+    if (!in_range) {
+      sample.responses = 0;
+      sample.relative_time_sum = 0;
+    }
+    samples.push_back(std::move(sample));
+  }
+  return samples;
+}
+
+std::vector<TargetLoadSummary> ReadTargetLoads(
+    capnp::List<wire::TargetLoadSummary>::Reader reader) {
+  std::vector<TargetLoadSummary> summary;
+  for (const auto item : reader) {
+    summary.push_back({FromText(item.getTarget()), item.getOutstanding(),
+                       item.getSlots(), Milliseconds(item.getAgeMs()),
+                       std::clamp(item.getRelativeTimePercent() / 100.0,
+                                  TargetLoadTable::kMinRelativeTime,
+                                  TargetLoadTable::kMaxRelativeTime)});
+  }
+  return summary;
+}
+
 LeaderReport ReadReport(wire::Report::Reader reader) {
   LeaderReport report{FromText(reader.getZone()),
                       FromText(reader.getRelayAddress()),
@@ -64,6 +107,7 @@
     report.cut_off_services.insert(FromText(service));
   }
   report.shutting_down = reader.getShuttingDown();
+  report.target_loads = ReadTargetLoads(reader.getTargetLoads());
   return report;
 }
 
@@ -77,9 +121,42 @@
       addresses.push_back(FromText(address));
     }
   }
+  serving.target_loads = ReadTargetLoads(reader.getTargetLoads());
+  for (const auto item : reader.getKeyAdmissions()) {
+    KeyFractions& fractions =
+        serving.key_admissions[FromText(item.getService())];
+    const auto keys = item.getKeys();
+    const auto admitted = item.getAdmittedPerMille();
+    for (unsigned i = 0; i < std::min(keys.size(), admitted.size()); ++i) {
+      fractions[keys[i]] = std::min(admitted[i] / 1000.0, 1.0);
+    }
+  }
   return serving;
 }
 
+// Writes what samples and summaries have in common.
+template <typename Load, typename Builder>
+void WriteReportedLoad(const Load& load, Builder builder) {
+  builder.setTarget(ToText(load.target));
+  builder.setOutstanding(ToField(load.outstanding));
+  builder.setSlots(ToField(load.slots));
+  builder.setAgeMs(ToField(load.age.count()));
+}
+
+void WriteKeyAdmissions(const ServiceName& service,
+                        const KeyFractions& fractions,
+                        wire::KeyAdmissions::Builder builder) {
+  builder.setService(ToText(service));
+  const auto size = static_cast<unsigned>(fractions.size());
+  auto keys = builder.initKeys(size);
+  auto admitted = builder.initAdmittedPerMille(size);
+  unsigned index = 0;
+  for (const auto& [key, fraction] : fractions) {
+    keys.set(index, ToField(key));
+    admitted.set(index++, ToField(std::lround(fraction * 1000)));
+  }
+}
+
 // Writes the content of a message into `root`.
 struct ContentWriter {
   wire::LeadMessage::Builder root;
@@ -97,6 +174,14 @@
       services.set(index++, ToText(service));
     }
     builder.setShuttingDown(report.shutting_down);
+    auto loads = builder.initTargetLoads(
+        static_cast<unsigned>(report.target_loads.size()));
+    for (unsigned i = 0; i < loads.size(); ++i) {
+      const TargetLoadSample& sample = report.target_loads[i];
+      WriteReportedLoad(sample, loads[i]);
+      loads[i].setResponses(ToField(sample.responses));
+      loads[i].setRelativeTimeSum(static_cast<float>(sample.relative_time_sum));
+    }
   }
   void operator()(const LeaderServing& serving) {
     auto builder = root.initServing();
@@ -114,6 +199,20 @@
         list.set(i, ToText(addresses[i]));
       }
     }
+    auto loads = builder.initTargetLoads(
+        static_cast<unsigned>(serving.target_loads.size()));
+    for (unsigned i = 0; i < loads.size(); ++i) {
+      const TargetLoadSummary& summary = serving.target_loads[i];
+      WriteReportedLoad(summary, loads[i]);
+      loads[i].setRelativeTimePercent(
+          ToField(std::lround(summary.relative_time * 100)));
+    }
+    auto services = builder.initKeyAdmissions(
+        static_cast<unsigned>(serving.key_admissions.size()));
+    index = 0;
+    for (const auto& [service, fractions] : serving.key_admissions) {
+      WriteKeyAdmissions(service, fractions, services[index++]);
+    }
   }
   void operator()(const LeaderMovesCompleted& completed) {
     auto fencing_tokens = root.initSettled(
--- a/src/state/route_policy.cc
+++ b/src/state/route_policy.cc
@@ -48,6 +48,11 @@
   return std::shared_ptr<const RoutePolicy>(std::move(policy));
 }
 
+bool RoutePolicy::has_urgent_routes() const {
+  return std::any_of(m_routes.begin(), m_routes.end(),
+                     [](const Route& route) { return route.priority == 0; });
+}
+
 const Route* RoutePolicy::FindRoute(std::string_view host,
                                     std::string_view target) const {
   const std::string_view path = target.substr(0, target.find_first_of("?#"));
--- a/src/state/route_policy.h
+++ b/src/state/route_policy.h
@@ -92,6 +92,9 @@
       std::vector<ServicePolicy> services);
 
   std::uint64_t version() const { return m_version; }
+  // Whether a route has the highest priority. The configuration then asks for
+  // its requests to be served before others when there is too little room.
+  bool has_urgent_routes() const;
   const RequestLimits& limits() const { return m_limits; }
   std::span<const Route> routes() const { return m_routes; }
   const std::map<ServiceName, ServicePolicy, std::less<>>& services() const {
--- a/src/transport/gateway/gateway_context.h
+++ b/src/transport/gateway/gateway_context.h
@@ -12,6 +12,7 @@
 #include "coordination/buffer_budget.h"
 #include "coordination/key_load_recorder.h"
 #include "coordination/poison_request_detector.h"
+#include "coordination/request_admission.h"
 #include "coordination/shutdown_schedule.h"
 #include "coordination/target_pauses.h"
 #include "coordination/target_rate_limits.h"
@@ -65,6 +66,7 @@
         services(routing_state, settings.zone, settings.retry_limits, seed),
         split(seed),
         rate_limits(seed),
+        admission(seed),
         response_buffers(settings.response_buffer_bytes) {}
 
   Executor executor;
@@ -77,6 +79,7 @@
   KeyLoadRecorder key_loads;
   TargetRateLimits rate_limits;
   TargetPauses pauses;
+  RequestAdmission admission;
   PoisonRequestDetector poison_requests;
   // Memory for the bodies of targets' responses.
   BufferBudget response_buffers;
--- a/src/transport/gateway/gateway_control.h
+++ b/src/transport/gateway/gateway_control.h
@@ -26,6 +26,7 @@
 #include "coordination/poison_request_detector.h"
 #include "coordination/relay_planner.h"
 #include "coordination/shared_rate_limiter.h"
+#include "coordination/target_load_collector.h"
 #include "coordination/target_registry.h"
 #include "protocol/key_table_codec.h"
 #include "protocol/request_digest.h"
@@ -190,6 +191,7 @@
       }
       // The leader reads the log in any case, so it is the relay of its zone.
       m_relay_planner.OnReport(now, m_zone, m_peer_address, m_link_mbps);
+      UpdateTargetLoads(now);
       m_instances.OnReport(now, m_instance);
       const auto cut_off_services = m_services.CutOffServices();
       m_forwarder_planner.OnReport(now, m_peer_address, m_zone,
@@ -208,12 +210,13 @@
     }
     const std::string relay_address =
         CanRelayRecords() ? m_peer_address : std::string();
+    std::vector<TargetLoadSample> target_loads = TakeTargetLoads(now);
     for (KeyLoadReport& report : reports) {
-      m_link.Send(
-          m_state.keys().leader_address,
-          {m_instance,
-           LeaderReport{m_zone, relay_address, std::move(report), m_link_mbps,
-                        m_services.CutOffServices(), m_draining}});
+      m_link.Send(m_state.keys().leader_address,
+                  {m_instance,
+                   LeaderReport{m_zone, relay_address, std::move(report),
+                                m_link_mbps, m_services.CutOffServices(),
+                                m_draining, std::exchange(target_loads, {})}});
     }
     ReportPoisonRequests(now);
     m_leader_failure_detector.OnReportSent();
@@ -432,13 +435,15 @@
       const std::string relay = m_relay_planner.OnReport(
           now, report->zone, report->relay_address, report->link_mbps);
       m_instances.OnReport(now, message.from);
+      m_target_load_collector.OnReport(now, report->target_loads);
       m_link.Send(
           sender,
           {m_instance,
            LeaderServing{relay, m_relay_planner.fastest_link(),
                          m_instances.Count(now).value_or(0),
                          ChooseForwarders(now, ToAddress(sender), report->zone,
-                                          report->cut_off_services)}});
+                                          report->cut_off_services),
+                         m_target_load_summary, m_key_admissions}});
       m_reporters.insert_or_assign(sender, now);
       std::vector<FencingToken> completed = m_key_leader.CompletedMoves();
       if (!completed.empty()) {
@@ -463,6 +468,8 @@
       if (serving->instances > 0) {
         m_instances.OnLeaderCount(serving->instances);
       }
+      m_services.target_loads().OnSummary(now, serving->target_loads);
+      m_state.SetKeyAdmissions(now, serving->key_admissions);
     } else if (const auto* moves_completed =
                    std::get_if<LeaderMovesCompleted>(&message.content)) {
       m_state.AddCompletedMoves(moves_completed->fencing_tokens);
@@ -553,6 +560,44 @@
     return forwarders;
   }
 
+  // What this instance has learned of targets since the last report; nothing
+  // unless the configuration asks for it.
+  std::vector<TargetLoadSample> TakeTargetLoads(MonotonicTime now) {
+    std::vector<TargetLoadSample> samples =
+        m_services.target_loads().TakeReport(now);
+    if (!m_services.learns_capacity()) {
+      samples.clear();
+    }
+    return samples;
+  }
+
+  // Adds this instance's own report, as the leader, and makes the summaries for
+  // the next responses to reports.
+  void UpdateTargetLoads(MonotonicTime now) {
+    m_target_load_collector.OnReport(now, TakeTargetLoads(now));
+    m_target_load_summary.clear();
+    m_key_admissions.clear();
+    if (!m_services.learns_capacity()) {
+      return;
+    }
+    m_target_load_summary = m_target_load_collector.NextSummary(
+        now, m_state.targets(), KeyedServices());
+    m_key_admissions = m_key_leader.PlanKeyAdmissions(now);
+    m_services.target_loads().OnSummary(now, m_target_load_summary);
+    m_state.SetKeyAdmissions(now, m_key_admissions);
+  }
+
+  // The services whose requests carry keys.
+  std::set<ServiceName, std::less<>> KeyedServices() const {
+    std::set<ServiceName, std::less<>> keyed;
+    for (const auto& [name, policy] : m_state.policy()->services()) {
+      if (policy.keyed) {
+        keyed.insert(name);
+      }
+    }
+    return keyed;
+  }
+
   // The keyed ones of `services`.
   std::set<ServiceName, std::less<>> CutOffKeyedServices(
       const std::set<ServiceName, std::less<>>& services) const {
@@ -784,13 +829,7 @@
                  {"read_ms", ElapsedMs(m_policy_feed.read_began_at())},
                  {"parse_ms", ElapsedMs(parse_began_at)}});
     m_state.SetPolicy(policy.value());
-    std::set<ServiceName, std::less<>> keyed;
-    for (const auto& [name, service] : policy.value()->services()) {
-      if (service.keyed) {
-        keyed.insert(name);
-      }
-    }
-    m_key_leader.SetKeyedServices(std::move(keyed));
+    m_key_leader.SetKeyedServices(KeyedServices());
     return true;
   }
 
@@ -1157,6 +1196,10 @@
   std::shared_ptr<RelaySelection> m_relay_selection;
   RelayPlanner m_relay_planner;
   InstanceCounter m_instances;
+  TargetLoadCollector m_target_load_collector;
+  // For the responses to reports until the next UpdateTargetLoads().
+  std::vector<TargetLoadSummary> m_target_load_summary;
+  std::map<ServiceName, KeyFractions, std::less<>> m_key_admissions;
   SharedRateLimiter m_rate_limiter;
   PermitRequests m_permit_requests;
   // Addresses of the instances that report to this one as the leader, with the
--- a/src/transport/gateway/gateway_router.cc
+++ b/src/transport/gateway/gateway_router.cc
@@ -93,6 +93,10 @@
     action = co_await WaitForStateChange(cause, m_context.state.version());
     co_return action;
   }
+  const std::optional<Action> not_admitted = co_await Admit();
+  if (not_admitted) {
+    co_return *not_admitted;
+  }
   const Milliseconds pause = m_context.pauses.Remaining(Now(), m_target.id);
   if (pause.count() > 0) {
     m_context.metrics.IncrementEvent("target_paused");
@@ -291,6 +295,59 @@
          m_misdirections.end();
 }
 
+AdmissionDecision GatewayRouter::DecideAdmission(MonotonicTime now) {
+  if (m_keyed) {
+    const double fraction = m_context.state.AdmittedFraction(
+        now, m_service->name, *m_request.info.key);
+    // A retry of this instance has been admitted.
+    if (fraction < 1 && m_attempts == 0) {
+      const AdmissionDecision decision =
+          m_context.admission.DecideForKey(now, m_request.deadline, fraction);
+      if (decision.action != AdmissionDecision::Action::kSend) {
+        return decision;
+      }
+    }
+  }
+  const Route& route = *m_request.route;
+  const TargetOutlook outlook = m_service->chooser.Outlook(now, m_target.id);
+  const std::chrono::duration<double, std::milli> mean =
+      m_context.services.target_loads()
+          .ServiceTime(route.name)
+          .value_or(Milliseconds(0));
+  AdmissionInput input;
+  input.priority = route.priority;
+  input.urgent_priority = m_service->urgent_priority;
+  input.urgent_objective = m_service->urgent_objective;
+  input.received_at = m_request.received_at;
+  input.objective = route.latency_objective;
+  input.deadline = m_request.deadline;
+  input.expected_wait = std::chrono::round<Milliseconds>(mean * outlook.wait);
+  input.service_time = std::chrono::round<Milliseconds>(mean * outlook.service);
+  return m_context.admission.Decide(now, input);
+}
+
+Task<std::optional<GatewayRouter::Action>> GatewayRouter::Admit() {
+  using Decision = AdmissionDecision::Action;
+  if (!m_context.services.learns_capacity()) {
+    co_return std::nullopt;
+  }
+  const AdmissionDecision decision = DecideAdmission(Now());
+  if (decision.action == Decision::kSend) {
+    co_return std::nullopt;
+  }
+  if (decision.action == Decision::kRefuse) {
+    m_context.metrics.IncrementEvent("admission_refused");
+    co_return FinishUnavailable("too little room", decision.retry_after);
+  }
+  m_context.metrics.IncrementEvent("admission_held");
+  m_request.SetStepDeadline(decision.retry_at);
+  while (!m_request.wait_cancelled()) {
+    co_await m_request.event.Wait();
+  }
+  m_request.ClearStepDeadline();
+  co_return Action::kRetry;
+}
+
 Task<bool> GatewayRouter::AcquirePermit() {
   const auto limit = m_context.rate_limits.Limit(m_target.id);
   if (!limit) {
@@ -396,6 +453,7 @@
       co_await exchange.Run(m_target.id, m_request.deadline);
   m_service->reachability.OnRequestEnded(Now(), exchange.has_response());
   m_target_load = exchange.info().load;
+  RecordCapacity(exchange, end, sent);
   if (end == TargetExchangeResult::kRefused) {
     m_refused_connections.push_back(stream);
   }
@@ -451,6 +509,32 @@
   }
 }
 
+void GatewayRouter::RecordCapacity(const TargetExchange& exchange,
+                                   TargetExchangeResult result,
+                                   MonotonicTime sent) {
+  if (!m_context.services.learns_capacity()) {
+    return;
+  }
+  TargetLoadTable& loads = m_context.services.target_loads();
+  const MonotonicTime now = Now();
+  const auto& load = exchange.info().load;
+  const bool answered = result == TargetExchangeResult::kAnswered;
+  if (answered && exchange.status() < 500) {
+    loads.OnResponse(now, m_target.id, m_request.route->name,
+                     std::chrono::duration_cast<Milliseconds>(now - sent),
+                     load);
+    return;
+  }
+  if (load) {
+    loads.OnReportedLoad(now, m_target.id, *load);
+  }
+  if (answered || result == TargetExchangeResult::kLost ||
+      (result == TargetExchangeResult::kInterrupted &&
+       m_request.deadline_passed())) {
+    loads.OnFailure(m_target.id);
+  }
+}
+
 void GatewayRouter::RecordServiceTime(const TargetExchange& exchange,
                                       MonotonicTime sent) {
   const auto& load = exchange.info().load;
--- a/src/transport/gateway/gateway_router.h
+++ b/src/transport/gateway/gateway_router.h
@@ -73,6 +73,11 @@
   // complete response.
   void RecordTargetLost(MonotonicTime sent_at);
   void RecordResponse();
+  // Decides whether the request may be sent to `m_target` now; see
+  // RequestAdmission. Returns nothing if so, after a wait or a refusal the next
+  // action.
+  Task<std::optional<Action>> Admit();
+  AdmissionDecision DecideAdmission(MonotonicTime now);
   // Whether `m_target` may be sent the request within its rate limit, if it has
   // one.
   Task<bool> AcquirePermit();
@@ -98,6 +103,11 @@
   // Updates what is known of the target after a response: its rate limit, the
   // pause that it asks for, and whether it is leaving.
   void RecordTargetState(const TargetResponseInfo& info);
+  // Records what the attempt, which began at `sent`, shows of the capacity of
+  // `m_target`; see TargetLoadTable.
+  void RecordCapacity(const TargetExchange& exchange,
+                      TargetExchangeResult result,
+                      MonotonicTime sent);
   // Records the service time of a keyed service's target, which the leader uses
   // to balance keys.
   void RecordServiceTime(const TargetExchange& exchange, MonotonicTime sent);
--- a/src/transport/gateway/gateway_services.cc
+++ b/src/transport/gateway/gateway_services.cc
@@ -1,6 +1,7 @@
 #include "transport/gateway/gateway_services.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace snipehall {
 
@@ -54,6 +55,38 @@
   }
 }
 
+bool GatewayServices::learns_capacity() const {
+  return m_may_learn_capacity && m_has_urgent_routes;
+}
+
+void GatewayServices::UpdateUrgentRoutes() {
+  if (m_ranked_policy == m_state.policy()) {
+    return;
+  }
+  m_ranked_policy = m_state.policy();
+  m_has_urgent_routes = m_ranked_policy->has_urgent_routes();
+  for (const auto& [name, service] : m_services) {
+    service->urgent_priority = std::numeric_limits<int>::max();
+    service->urgent_objective = Milliseconds(0);
+  }
+  for (const Route& route : m_ranked_policy->routes()) {
+    for (const WeightedService& part : route.services) {
+      const auto found = m_services.find(part.service);
+      if (found == m_services.end()) {
+        continue;
+      }
+      GatewayService& service = *found->second;
+      if (route.priority < service.urgent_priority) {
+        service.urgent_priority = route.priority;
+        service.urgent_objective = route.latency_objective;
+      } else if (route.priority == service.urgent_priority) {
+        service.urgent_objective =
+            std::min(service.urgent_objective, route.latency_objective);
+      }
+    }
+  }
+}
+
 void GatewayServices::Update(MonotonicTime now) {
   m_applied_version = m_state.version();
   if (!m_state.policy()) {
@@ -87,6 +120,13 @@
     service->chooser.SetTargets(now, targets);
     service->targets = std::move(targets);
   }
+  UpdateUrgentRoutes();
+  m_target_loads.Retain(
+      [this](const TargetId& id) { return m_state.targets().contains(id); });
+  for (const auto& [name, service] : m_services) {
+    service->chooser.set_load_table(learns_capacity() ? &m_target_loads
+                                                      : nullptr);
+  }
 }
 
 }  // namespace snipehall
--- a/src/transport/gateway/gateway_services.h
+++ b/src/transport/gateway/gateway_services.h
@@ -9,6 +9,7 @@
 
 #include "coordination/shared_retry_budget.h"
 #include "coordination/target_chooser.h"
+#include "coordination/target_load_table.h"
 #include "coordination/target_reachability.h"
 #include "transport/gateway/routing_state.h"
 
@@ -29,6 +30,10 @@
   TargetReachability reachability;
   // Targets at the indexes that `chooser` returns.
   std::vector<RouteTarget> targets;
+  // The most urgent priority of the routes to the service, and the shortest
+  // latency objective of the routes with it.
+  int urgent_priority = 0;
+  Milliseconds urgent_objective{0};
 };
 
 // All services of the routing configuration; Find() follows changes of the
@@ -40,6 +45,15 @@
                   SharedRetryBudget::Limits retry_limits,
                   std::uint64_t seed);
 
+  // Whether targets are chosen by their learned capacity, and requests admitted
+  // by their priority: the configuration has urgent routes, and the settings
+  // allow it.
+  bool learns_capacity() const;
+  void set_may_learn_capacity(bool may_learn) {
+    m_may_learn_capacity = may_learn;
+  }
+  TargetLoadTable& target_loads() { return m_target_loads; }
+
   // Changes the retry limits of all services; counts are kept.
   void SetRetryLimits(SharedRetryBudget::Limits limits);
 
@@ -66,6 +80,8 @@
  private:
   // Applies the current routing state.
   void Update(MonotonicTime now);
+  // Derives the urgent routes of all services from the configuration.
+  void UpdateUrgentRoutes();
 
   const RoutingState& m_state;
   ZoneName m_own_zone;
@@ -76,6 +92,11 @@
   std::uint64_t m_applied_version = 0;
   std::map<ServiceName, std::unique_ptr<GatewayService>, std::less<>>
       m_services;
+  // The configuration of the last UpdateUrgentRoutes().
+  std::shared_ptr<const RoutePolicy> m_ranked_policy;
+  bool m_may_learn_capacity = true;
+  bool m_has_urgent_routes = false;
+  TargetLoadTable m_target_loads;
 };
 
 }  // namespace snipehall
--- a/src/transport/gateway/routing_state.h
+++ b/src/transport/gateway/routing_state.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "coordination/key_admission_planner.h"
 #include "state/key_table.h"
 #include "state/route_policy.h"
 #include "state/target_list.h"
@@ -52,6 +53,19 @@
     const auto found = m_forwarders.find(service);
     return found == m_forwarders.end() ? nullptr : &found->second;
   }
+  // Part of the requests for the key that may be sent to its owner; 1 unless
+  // the leader has said otherwise within kAdmissionLifetime.
+  double AdmittedFraction(MonotonicTime now,
+                          std::string_view service,
+                          KeyNumber key) const {
+    const auto found = m_key_admissions.find(service);
+    if (found == m_key_admissions.end() ||
+        now - m_key_admissions_at > kAdmissionLifetime) {
+      return 1;
+    }
+    const auto fraction = found->second.find(key);
+    return fraction == found->second.end() ? 1 : fraction->second;
+  }
   // Incremented whenever the subscribers are notified.
   std::uint64_t version() const { return m_version; }
 
@@ -77,6 +91,13 @@
     ApplyCompletedMoves();
     NotifySubscribers();
   }
+  // Replaces the admitted fractions of all services; subscribers need not know.
+  void SetKeyAdmissions(
+      MonotonicTime now,
+      std::map<ServiceName, KeyFractions, std::less<>> admissions) {
+    m_key_admissions = std::move(admissions);
+    m_key_admissions_at = now;
+  }
   // Replaces the forwarders of all services.
   void SetForwarders(
       std::map<ServiceName, std::vector<std::string>, std::less<>> forwarders) {
@@ -95,6 +116,9 @@
   }
 
  private:
+  // Three report intervals: without a leader, all requests are sent again.
+  static constexpr Milliseconds kAdmissionLifetime{1200};
+
   bool ApplyCompletedMoves() {
     bool changed = false;
     for (auto& [service, ranges] : m_keys.services) {
@@ -120,6 +144,8 @@
   KeyTable m_keys;
   std::set<FencingToken> m_completed_moves;
   std::map<ServiceName, std::vector<std::string>, std::less<>> m_forwarders;
+  std::map<ServiceName, KeyFractions, std::less<>> m_key_admissions;
+  MonotonicTime m_key_admissions_at;
   std::uint64_t m_version = 0;
   std::list<AsyncEvent*> m_subscribers;
 };
