--- a/src/coordination/key_leader.cc
+++ b/src/coordination/key_leader.cc
@@ -4,6 +4,7 @@
 #include <tuple>
 #include <utility>
 
+#include "coordination/cold_target_limit.h"
 #include "coordination/key_balancer.h"
 
 namespace snipehall {
@@ -217,8 +218,14 @@
   }
 }
 
-void KeyLeader::SetKeyedServices(std::set<ServiceName, std::less<>> services) {
-  m_services = std::move(services);
+void KeyLeader::SetKeyedServices(
+    std::map<ServiceName, double, std::less<>> cold_rates) {
+  m_services = std::move(cold_rates);
+}
+
+double KeyLeader::ColdRate(std::string_view service) const {
+  const auto found = m_services.find(service);
+  return found == m_services.end() ? 0 : found->second;
 }
 
 void KeyLeader::OnTargetUnreachable(MonotonicTime now,
@@ -269,6 +276,26 @@
   return result;
 }
 
+std::vector<KeyCandidate> KeyLeader::WarmCandidates(
+    MonotonicTime now,
+    std::string_view service,
+    std::span<const KeyAssignment> ranges) const {
+  const std::vector<KeyCandidate> all = Candidates(service);
+  const double cold_rate = ColdRate(service);
+  std::vector<KeyCandidate> result;
+  for (const KeyCandidate& item : all) {
+    const bool owns_keys =
+        std::any_of(ranges.begin(), ranges.end(), [&item](const auto& range) {
+          return range.owner == item.id &&
+                 range.owner_start_time_ms == item.start_time_ms;
+        });
+    if (owns_keys || !IsCold(now, m_targets.find(item.id)->second, cold_rate)) {
+      result.push_back(item);
+    }
+  }
+  return result.empty() ? all : result;
+}
+
 const KeyLeader::RangeState* KeyLeader::FindState(
     const ServiceName& service,
     const KeyAssignment& range) const {
@@ -404,7 +431,7 @@
     MonotonicTime now,
     std::string_view service,
     std::span<const KeyAssignment> ranges) const {
-  std::vector<KeyCandidate> result = Candidates(service);
+  std::vector<KeyCandidate> result = WarmCandidates(now, service, ranges);
   std::erase_if(result, [&](const KeyCandidate& item) {
     return IsUnresponsive(item.id) &&
            std::none_of(ranges.begin(), ranges.end(), [&](const auto& range) {
@@ -436,14 +463,21 @@
                   })) {
     return false;
   }
-  std::vector<KeyCandidate> candidates = Candidates(service);
+  std::vector<KeyCandidate> candidates =
+      WarmCandidates(now, service, ranges->second);
   std::erase_if(candidates, [this](const KeyCandidate& item) {
     return IsUnresponsive(item.id);
   });
+  const double cold_rate = ColdRate(service);
   for (KeyCandidate& candidate : candidates) {
+    if (IsCold(now, m_targets.find(candidate.id)->second, cold_rate)) {
+      candidate.rate_limit = cold_rate;
+    }
     const auto limit = m_rate_limits.find(candidate.id);
     if (limit != m_rate_limits.end() && now < limit->second.expires_at) {
-      candidate.rate_limit = limit->second.limit;
+      candidate.rate_limit =
+          std::min(limit->second.limit,
+                   candidate.rate_limit.value_or(limit->second.limit));
     }
   }
   std::vector<KeyAssignment> planned = KeyBalancer::Plan(
@@ -458,7 +492,7 @@
 std::map<ServiceName, KeyFractions, std::less<>> KeyLeader::PlanKeyAdmissions(
     MonotonicTime now) const {
   std::map<ServiceName, KeyFractions, std::less<>> admissions;
-  for (const ServiceName& service : m_services) {
+  for (const auto& [service, cold_rate] : m_services) {
     const auto load = m_loads.find(service);
     const auto ranges = m_table.services.find(service);
     if (load == m_loads.end() || ranges == m_table.services.end()) {
@@ -496,12 +530,12 @@
                  (completed && now >= m_next_completion_at) ||
                  next.owners_unknown != m_table.owners_unknown;
   changed = RaiseTokens(now, next) || changed;
-  for (const ServiceName& service : m_services) {
+  for (const auto& [service, cold_rate] : m_services) {
     changed = PlanService(now, service, next) || changed;
   }
   if (now >= m_next_balance_at) {
     m_next_balance_at = now + kBalanceInterval;
-    for (const ServiceName& service : m_services) {
+    for (const auto& [service, cold_rate] : m_services) {
       changed = BalanceService(now, service, next) || changed;
     }
   }
--- a/src/coordination/key_leader.h
+++ b/src/coordination/key_leader.h
@@ -204,8 +204,9 @@
   void OnTargets(MonotonicTime now, const TargetList& targets);
 
   // Sets the services whose requests carry keys; keys are assigned for these
-  // only.
-  void SetKeyedServices(std::set<ServiceName, std::less<>> services);
+  // only. The value is the rate, requests per second, that a cold target bears,
+  // or zero if it bears any.
+  void SetKeyedServices(std::map<ServiceName, double, std::less<>> cold_rates);
 
   // Call for each load report of any instance, this one included.
   void OnLoad(MonotonicTime now, const KeyLoadReport& report) {
@@ -306,6 +307,14 @@
   bool MayHold(MonotonicTime now, const KeyAssignment& range) const;
   // Returns the targets of the service that may own keys.
   std::vector<KeyCandidate> Candidates(std::string_view service) const;
+  // The same without cold targets that own none of `ranges`, unless all are
+  // cold: such a target could not serve the requests for what it gets.
+  std::vector<KeyCandidate> WarmCandidates(
+      MonotonicTime now,
+      std::string_view service,
+      std::span<const KeyAssignment> ranges) const;
+  // Rate that a cold target of the service bears, requests per second.
+  double ColdRate(std::string_view service) const;
   // Returns the first former owner that may still hold keys of the range, or
   // null.
   const TargetId* FindHolder(MonotonicTime now, const RangeState& state) const;
@@ -398,7 +407,8 @@
   // listed may still hold keys.
   TargetList m_known_targets;
   MonotonicTime m_targets_changed_at;
-  std::set<ServiceName, std::less<>> m_services;
+  // The keyed services, with the rate that their cold targets bear.
+  std::map<ServiceName, double, std::less<>> m_services;
   std::map<RangeId, RangeState> m_ranges;
   std::map<ServiceName, KeyLoad, std::less<>> m_loads;
   MonotonicTime m_next_balance_at;
--- a/src/coordination/target_registry.cc
+++ b/src/coordination/target_registry.cc
@@ -7,6 +7,10 @@
 
 namespace {
 
+// Ends of the same warm-up, as two entries tell it, differ by the time that
+// they take to arrive.
+constexpr Milliseconds kWarmupTolerance{500};
+
 bool IsOlder(const ListedTarget& entry, const ListedTarget& known) {
   return entry.start_time_ms < known.start_time_ms ||
          (entry.start_time_ms == known.start_time_ms &&
@@ -19,7 +23,8 @@
   return entry.service != known.service || entry.zone != known.zone ||
          entry.address != known.address || entry.slots != known.slots ||
          entry.draining != known.draining ||
-         entry.start_time_ms != known.start_time_ms;
+         entry.start_time_ms != known.start_time_ms ||
+         entry.warmup_until > known.warmup_until + kWarmupTolerance;
 }
 
 }  // namespace
--- a/src/state/route_policy.h
+++ b/src/state/route_policy.h
@@ -60,6 +60,9 @@
   // Each request has a header with a key, and is sent to the target that owns
   // the key; see KeyTable.
   bool keyed = false;
+  // Requests per second, of all instances together, that a target bears while
+  // it warms up after a cold start; zero if it bears any number.
+  double cold_rate = 0;
 
   bool operator==(const ServicePolicy&) const = default;
 };
--- a/src/state/target_list.h
+++ b/src/state/target_list.h
@@ -19,6 +19,9 @@
   int slots = 1;
   // The target is shutting down and gets no new requests.
   bool draining = false;
+  // The target's zone is evacuated; it counts as draining until the zone is
+  // taken back.
+  bool evacuated = false;
   // Start time of the target's process, milliseconds since the Unix epoch;
   // distinguishes restarts under the same id. Zero when the target does not
   // report it.
--- a/src/transport/gateway/gateway_context.h
+++ b/src/transport/gateway/gateway_context.h
@@ -67,6 +67,7 @@
         split(seed),
         rate_limits(seed),
         admission(seed),
+        cold_bounds(settings.cold_bounds),
         response_buffers(settings.response_buffer_bytes) {}
 
   Executor executor;
@@ -80,6 +81,7 @@
   TargetRateLimits rate_limits;
   TargetPauses pauses;
   RequestAdmission admission;
+  ColdTargetBounds cold_bounds;
   PoisonRequestDetector poison_requests;
   // Memory for the bodies of targets' responses.
   BufferBudget response_buffers;
--- a/src/transport/gateway/gateway_control.h
+++ b/src/transport/gateway/gateway_control.h
@@ -51,7 +51,9 @@
 // - NewKeyOrderClient() takes the "address:port" of a target and returns a
 //   client that sends orders to it, one at a time.
 // - The record with policy_key() in policy_topic() is the operator's routing
-//   configuration; ParsePolicy() parses its value.
+//   configuration; ParsePolicy() parses its value. While there is a record for
+//   whose key EvacuatedZone() returns a zone, the targets of that zone get no
+//   requests.
 // - target_topic() has a record per target, with the target's id as the key;
 //   ParseTarget() parses one. A warm-up is counted from its last parameter.
 // - key_topic() has the key table.
@@ -70,6 +72,7 @@
   {
     platform.ParseTarget(id, text, time)
     } -> std::same_as<Result<ListedTarget>>;
+  { platform.EvacuatedZone(text) } -> std::same_as<std::optional<ZoneName>>;
   { platform.policy_topic() } -> std::convertible_to<std::string>;
   { platform.policy_key() } -> std::convertible_to<std::string>;
   { platform.target_topic() } -> std::convertible_to<std::string>;
@@ -793,7 +796,8 @@
     m_metrics.SetGauge("log_era " + topic, static_cast<double>(page.era));
   }
 
-  void OnPolicyPage(const RecordPage& page, bool /*whole*/) {
+  void OnPolicyPage(const RecordPage& page, bool whole) {
+    UpdateEvacuatedZones(page, whole);
     // Only the newest valid version is of use.
     for (auto record = page.records.rbegin(); record != page.records.rend();
          ++record) {
@@ -804,6 +808,54 @@
     }
   }
 
+  // Applies the records of a page that evacuate a zone or take it back. A
+  // snapshot of the whole topic has all zones that are evacuated.
+  void UpdateEvacuatedZones(const RecordPage& page, bool whole) {
+    std::set<ZoneName, std::less<>> zones;
+    if (!whole) {
+      zones = m_evacuated_zones;
+    }
+    for (const KeyedRecord& record : page.records) {
+      const std::optional<ZoneName> zone = m_platform.EvacuatedZone(record.key);
+      if (zone && record.value.empty()) {
+        zones.erase(*zone);
+      } else if (zone) {
+        zones.insert(*zone);
+      }
+    }
+    if (zones == m_evacuated_zones) {
+      return;
+    }
+    for (const ZoneName& zone : zones) {
+      if (!m_evacuated_zones.contains(zone)) {
+        m_log.Write("zone_evacuated", {{"zone", zone}});
+      }
+    }
+    for (const ZoneName& zone : m_evacuated_zones) {
+      if (!zones.contains(zone)) {
+        m_log.Write("zone_taken_back", {{"zone", zone}});
+      }
+    }
+    m_evacuated_zones = std::move(zones);
+    m_metrics.SetGauge("evacuated_zones",
+                       static_cast<double>(m_evacuated_zones.size()));
+    SetTargets(Now());
+  }
+
+  // Passes on the listed targets. Those of evacuated zones count as draining.
+  void SetTargets(MonotonicTime now) {
+    TargetList targets = m_registry.targets();
+    for (auto& [id, target] : targets) {
+      target.evacuated = m_evacuated_zones.contains(target.zone);
+      target.draining = target.draining || target.evacuated;
+    }
+    m_metrics.SetGauge("targets", static_cast<double>(targets.size()));
+    LogTargets(m_state.targets(), targets);
+    m_key_leader.OnTargets(now, targets);
+    m_state.SetTargets(std::move(targets));
+    WakeLeader();
+  }
+
   // Puts the configuration `text` of `page` in force unless it is older than
   // the present one. Returns false if it is invalid.
   bool ApplyPolicy(const RecordPage& page, const std::string& text) {
@@ -829,7 +881,13 @@
                  {"read_ms", ElapsedMs(m_policy_feed.read_began_at())},
                  {"parse_ms", ElapsedMs(parse_began_at)}});
     m_state.SetPolicy(policy.value());
-    m_key_leader.SetKeyedServices(KeyedServices());
+    std::map<ServiceName, double, std::less<>> cold_rates;
+    for (const auto& [name, service] : policy.value()->services()) {
+      if (service.keyed) {
+        cold_rates.emplace(name, service.cold_rate);
+      }
+    }
+    m_key_leader.SetKeyedServices(std::move(cold_rates));
     return true;
   }
 
@@ -876,12 +934,7 @@
     if (!m_registry.TakeChanged()) {
       return false;
     }
-    m_metrics.SetGauge("targets",
-                       static_cast<double>(m_registry.targets().size()));
-    LogTargets(m_state.targets(), m_registry.targets());
-    m_state.SetTargets(m_registry.targets());
-    m_key_leader.OnTargets(now, m_registry.targets());
-    WakeLeader();
+    SetTargets(now);
     return true;
   }
 
@@ -894,7 +947,9 @@
         m_log.Write("target",
                     {{"id", id},
                      {"service", target.service},
-                     {"state", target.draining ? "leaving" : "ready"},
+                     {"state", target.evacuated  ? "evacuated"
+                               : target.draining ? "leaving"
+                                                 : "ready"},
                      {"report", std::to_string(target.report_sequence)}});
       }
     }
@@ -1225,6 +1280,7 @@
   // log was last restored.
   MonotonicTime m_log_recovered_at;
   LogEra m_target_era = 0;
+  std::set<ZoneName, std::less<>> m_evacuated_zones;
   bool m_has_targets = false;
   bool m_appending = false;
   bool m_leader_wake_pending = false;
--- a/src/transport/gateway/gateway_router.cc
+++ b/src/transport/gateway/gateway_router.cc
@@ -260,7 +260,19 @@
   if (m_keyed) {
     return ChooseOwner(now);
   }
-  auto index = m_service->chooser.Choose(now, m_tried_targets);
+  std::optional<std::size_t> index;
+  if (!m_service->cold_targets.empty()) {
+    std::vector<TargetId> excluded = m_tried_targets;
+    for (const auto& [id, cold_until] : m_service->cold_targets) {
+      if (now < cold_until) {
+        excluded.push_back(id);
+      }
+    }
+    index = m_service->chooser.Choose(now, excluded);
+  }
+  if (!index) {
+    index = m_service->chooser.Choose(now, m_tried_targets);
+  }
   if (!index) {
     index = m_service->chooser.Choose(now);
   }
@@ -348,8 +360,25 @@
   co_return Action::kRetry;
 }
 
+bool GatewayRouter::IsTargetCold() const {
+  const auto listed = m_context.state.targets().find(m_target.id);
+  const ServicePolicy* policy = m_request.policy->FindService(m_service->name);
+  return listed != m_context.state.targets().end() && policy != nullptr &&
+         IsCold(Now(), listed->second, policy->cold_rate);
+}
+
+std::optional<double> GatewayRouter::PermitRate() const {
+  const std::optional<double> limit = m_context.rate_limits.Limit(m_target.id);
+  if (!IsTargetCold()) {
+    return limit;
+  }
+  const ServicePolicy* policy = m_request.policy->FindService(m_service->name);
+  const double rate = ColdPermitRate(policy->cold_rate, m_context.cold_bounds);
+  return limit ? std::min(*limit, rate) : rate;
+}
+
 Task<bool> GatewayRouter::AcquirePermit() {
-  const auto limit = m_context.rate_limits.Limit(m_target.id);
+  const std::optional<double> limit = PermitRate();
   if (!limit) {
     co_return true;
   }
@@ -375,6 +404,10 @@
     co_return (*response)->granted;
   }
   m_context.metrics.IncrementEvent("permit_response_lost");
+  if (IsTargetCold()) {
+    m_limit_retry_after = kOwnerRetryAfter;
+    co_return false;
+  }
   const MonotonicTime now = Now();
   m_limit_retry_after = m_context.rate_limits.TimeToNextShare(now, m_target.id);
   co_return m_context.rate_limits.TryTake(now, m_target.id);
--- a/src/transport/gateway/gateway_router.h
+++ b/src/transport/gateway/gateway_router.h
@@ -81,6 +81,11 @@
   // Whether `m_target` may be sent the request within its rate limit, if it has
   // one.
   Task<bool> AcquirePermit();
+  // Rate at which the leader grants permits for `m_target`, requests per
+  // second; nothing if it needs none.
+  std::optional<double> PermitRate() const;
+  // Whether `m_target` is cold, so that it gets nothing without a permit.
+  bool IsTargetCold() const;
   // What follows if `m_target` takes no requests for `wait`: another target, or
   // a refusal with `cause`.
   Action TryOtherTarget(std::string_view cause, Milliseconds wait);
--- a/src/transport/gateway/gateway_services.cc
+++ b/src/transport/gateway/gateway_services.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <limits>
 
+#include "coordination/cold_target_limit.h"
+
 namespace snipehall {
 
 namespace {
@@ -96,9 +98,13 @@
   // progress still refer to them, and there are few.
   for (const auto& [name, policy] : m_state.policy()->services()) {
     std::vector<RouteTarget> targets;
+    std::vector<std::pair<TargetId, MonotonicTime>> cold_targets;
     int slots = 1;
     for (const auto& [id, target] : m_state.targets()) {
       if (target.service == name) {
+        if (IsCold(now, target, policy.cold_rate)) {
+          cold_targets.emplace_back(id, target.warmup_until);
+        }
         targets.push_back({id, target.zone, target.address, target.draining});
         slots = std::max(slots, target.slots);
       }
@@ -119,6 +125,7 @@
     }
     service->chooser.SetTargets(now, targets);
     service->targets = std::move(targets);
+    service->cold_targets = std::move(cold_targets);
   }
   UpdateUrgentRoutes();
   m_target_loads.Retain(
--- a/src/transport/gateway/gateway_services.h
+++ b/src/transport/gateway/gateway_services.h
@@ -30,6 +30,8 @@
   TargetReachability reachability;
   // Targets at the indexes that `chooser` returns.
   std::vector<RouteTarget> targets;
+  // Targets that were cold when `targets` was set, and until when.
+  std::vector<std::pair<TargetId, MonotonicTime>> cold_targets;
   // The most urgent priority of the routes to the service, and the shortest
   // latency objective of the routes with it.
   int urgent_priority = 0;
--- a/src/transport/gateway/gateway_settings.h
+++ b/src/transport/gateway/gateway_settings.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <string>
 
+#include "coordination/cold_target_limit.h"
 #include "coordination/shared_retry_budget.h"
 #include "state/types.h"
 
@@ -24,6 +25,8 @@
   std::string log_address;
   // Limits of the retries of all instances; see SharedRetryBudget.
   SharedRetryBudget::Limits retry_limits;
+  // How far requests to cold targets may exceed the rate that they bear.
+  ColdTargetBounds cold_bounds;
   // Network link of the instance, Mbit/s; zero when unknown. Instances with
   // faster links are preferred as the leader and as relays of the log.
   LinkRate link_mbps = 0;
--- a/tests/unit/key_leader_test.cc
+++ b/tests/unit/key_leader_test.cc
@@ -14,7 +14,7 @@
 class LeaderFixture {
  public:
   LeaderFixture() : m_leader("entry-1", "127.0.0.1:7000") {
-    m_leader.SetKeyedServices({kService});
+    m_leader.SetKeyedServices({{kService, 0}});
   }
 
   void AddTarget(const TargetId& id, std::int64_t start_time_ms = 1) {
--- a/tests/unit/support/key_owner_simulation.h
+++ b/tests/unit/support/key_owner_simulation.h
@@ -248,7 +248,7 @@
     instance.log_cut_until = cut_until;
     instance.id = "entry-" + std::to_string(i);
     instance.leader = std::make_unique<KeyLeader>(instance.id, "address");
-    instance.leader->SetKeyedServices({kService});
+    instance.leader->SetKeyedServices({{kService, 0}});
     instance.alive = true;
     instance.leader_seen_at = m_now;
     instance.take_over_delay = kTakeOverTime + Milliseconds(Draw(0, 800));
