Tests: crowds of callers that hold long bodies and connections open

Change: crowd_of_callers_test starts a gateway with 96 MB and 600 descriptors in its settings and brings crowds: bodies of 4 MiB that lack their last byte, whole, in pieces, in large and in very small chunks; bodies over the limit, announced or just sent; connections that stay open. It checks that the process lives, its peak memory and its open descriptors, and that ordinary requests are served beside and after the crowd. Crowd and bounds are fixed here, before the product changes.

--- a/tests/process/support/gateway_cluster.cc
+++ b/tests/process/support/gateway_cluster.cc
@@ -24,7 +24,7 @@
 using boost::asio::ip::udp;
 
 constexpr const char* kConfigurationTemplate = R"({"Version":%VERSION%,
-"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":67108864,
+"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":%BODY%,
 "HeaderTimeout":"3000ms","IdleTimeout":"15000ms"},
 "Listeners":[{"Host":"shop.example","Rules":[
 {"Name":"catalog","Kind":"idempotent","TargetLatency":"600ms","Priority":2,
@@ -51,6 +51,7 @@
 Zone = "%ZONE%"
 [Local.Limits]
 MemoryMb = %MEMORY%
+MaxFds = %DESCRIPTORS%
 [Network]
 InternalPorts = [%PEER%, %PEER%]
 [Network.Listen]
@@ -141,7 +142,9 @@
       m_initial_refusals(options.initial_refusals),
       m_rate_limit(options.rate_limit),
       m_target_links(options.target_links),
-      m_memory_mb(options.memory_mb) {
+      m_memory_mb(options.memory_mb),
+      m_max_descriptors(options.max_descriptors),
+      m_max_body_bytes(options.max_body_bytes) {
   const std::string errors = (m_directory.path() / "errors").string();
   m_store = std::make_unique<Process>(
       std::vector<std::string>{StandinPath("store")}, errors);
@@ -200,6 +203,7 @@
       kSettingsTemplate, {{"NAME", gateway.name},
                           {"ZONE", gateway.zone},
                           {"MEMORY", std::to_string(m_memory_mb)},
+                          {"DESCRIPTORS", std::to_string(m_max_descriptors)},
                           {"PEER", peer_port},
                           {"FRONT", gateway.address},
                           {"READY", gateway.status_address},
@@ -293,6 +297,12 @@
   throw TestFailure("the gateway's memory cannot be read");
 }
 
+std::size_t GatewayCluster::OpenDescriptors(std::size_t gateway) const {
+  const std::filesystem::directory_iterator entries(
+      "/proc/" + std::to_string(m_gateways[gateway].process->pid()) + "/fd");
+  return static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
+}
+
 void GatewayCluster::Signal(std::size_t gateway, int signal) {
   m_gateways[gateway].process->Signal(signal);
 }
@@ -338,6 +348,7 @@
   AppendConfiguration(FillTemplate(kConfigurationTemplate,
                                    {{"VERSION", std::to_string(version)},
                                     {"TIMEOUT", std::to_string(timeout_ms)},
+                                    {"BODY", std::to_string(m_max_body_bytes)},
                                     {"ROUTES", ""}}));
 }
 
@@ -349,6 +360,7 @@
   AppendConfiguration(FillTemplate(kConfigurationTemplate,
                                    {{"VERSION", std::to_string(version)},
                                     {"TIMEOUT", "2000"},
+                                    {"BODY", std::to_string(m_max_body_bytes)},
                                     {"ROUTES", rules}}));
 }
 
--- a/tests/process/support/gateway_cluster.h
+++ b/tests/process/support/gateway_cluster.h
@@ -37,6 +37,10 @@
     bool target_links = false;
     // Memory limit in the gateways' settings, MiB; none if it is zero.
     int memory_mb = 0;
+    // Limit of open descriptors in the gateways' settings; none if it is zero.
+    int max_descriptors = 0;
+    // Largest body of a request in the configuration, bytes.
+    std::size_t max_body_bytes = std::size_t{64} << 20;
   };
 
   explicit GatewayCluster(const Options& options);
@@ -66,6 +70,9 @@
   // Largest resident set of the gateway's process so far, bytes.
   std::size_t PeakResidentBytes(std::size_t gateway) const;
 
+  // Number of descriptors that the gateway's process has open.
+  std::size_t OpenDescriptors(std::size_t gateway) const;
+
   // Sends a signal to the gateway's process.
   void Signal(std::size_t gateway, int signal);
   // Waits until the gateway's process has ended. Returns what Process::Wait()
@@ -145,6 +152,8 @@
   std::string m_rate_limit;
   bool m_target_links = false;
   int m_memory_mb = 0;
+  int m_max_descriptors = 0;
+  std::size_t m_max_body_bytes = 0;
   std::vector<Target> m_targets;
   std::vector<Gateway> m_gateways;
 };
