Bound the memory and the connections of all callers together

Cause: a process kept the body of each request that was being received, up to the largest body for each connection, and accepted connections without a bound; a crowd of clients ended it.

Each may take half of what is free; in calm one may take nearly all, so that the largest body fits. A request without memory is refused with 503 before it is sent. A body has to arrive by the request's deadline. When there are too many connections, the one that has waited longest for bytes of a request is closed.

--- a/src/coordination/buffer_budget.cc
+++ b/src/coordination/buffer_budget.cc
@@ -4,14 +4,22 @@
 
 namespace snipehall {
 
+std::size_t BufferBudget::Share(std::size_t size) const {
+  const std::size_t available =
+      m_capacity - std::min(m_capacity, m_used) + size;
+  const std::size_t calm_part = m_capacity / kCalmDivisor;
+  const bool is_calm = m_used - size <= calm_part;
+  const std::size_t share = available / kShareDivisor;
+  return is_calm ? std::max(share, available - std::min(available, calm_part))
+                 : share;
+}
+
 bool BufferBudget::Reservation::TryGrow(std::size_t bytes) {
   if (m_budget == nullptr) {
     return false;
   }
-  const std::size_t free =
-      m_budget->m_capacity - std::min(m_budget->m_capacity, m_budget->m_used);
   const std::size_t share =
-      std::max(kGuaranteedBytes, (free + m_size) / kShareDivisor);
+      std::max(m_guaranteed_bytes, m_budget->Share(m_size));
   if (bytes > share || m_size > share - bytes) {
     return false;
   }
--- a/src/transport/gateway/gateway_context.h
+++ b/src/transport/gateway/gateway_context.h
@@ -68,6 +68,7 @@
         rate_limits(seed),
         admission(seed),
         cold_bounds(settings.cold_bounds),
+        request_buffers(settings.request_buffer_bytes),
         response_buffers(settings.response_buffer_bytes) {}
 
   Executor executor;
@@ -83,6 +84,8 @@
   RequestAdmission admission;
   ColdTargetBounds cold_bounds;
   PoisonRequestDetector poison_requests;
+  // Memory for the heads and bodies of callers' requests.
+  BufferBudget request_buffers;
   // Memory for the bodies of targets' responses.
   BufferBudget response_buffers;
   // Open sessions; each adds and removes itself.
--- a/src/transport/gateway/gateway_request.h
+++ b/src/transport/gateway/gateway_request.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "coordination/buffer_budget.h"
 #include "protocol/gateway_headers.h"
 #include "state/route_policy.h"
 #include "transport/async_event.h"
@@ -55,6 +56,8 @@
   std::optional<Parser> parser;
   GatewayRequestInfo info;
   std::string body;
+  // Memory of the head and `body`.
+  BufferBudget::Reservation memory;
   // Owns the object that `route` points into.
   std::shared_ptr<const RoutePolicy> policy;
   const Route* route = nullptr;
--- a/src/transport/gateway/gateway_server.cc
+++ b/src/transport/gateway/gateway_server.cc
@@ -24,21 +24,24 @@
 }  // namespace
 
 GatewayServer::GatewayServer(GatewayContext& context,
+                             std::size_t max_caller_connections,
                              std::function<bool()> is_ready,
                              std::function<void()> update_metrics)
     : m_context(context),
       m_is_ready(std::move(is_ready)),
       m_update_metrics(std::move(update_metrics)),
       m_caller_acceptor(context.executor),
-      m_status_acceptor(context.executor) {}
+      m_status_acceptor(context.executor),
+      m_max_caller_connections(max_caller_connections) {}
 
 Result<std::unique_ptr<GatewayServer>> GatewayServer::Create(
     GatewayContext& context,
     const GatewaySettings& settings,
     std::function<bool()> is_ready,
     std::function<void()> update_metrics) {
-  auto server = std::unique_ptr<GatewayServer>(new GatewayServer(
-      context, std::move(is_ready), std::move(update_metrics)));
+  auto server = std::unique_ptr<GatewayServer>(
+      new GatewayServer(context, settings.max_caller_connections,
+                        std::move(is_ready), std::move(update_metrics)));
   BOOST_OUTCOME_TRY(
       BindAcceptor(server->m_caller_acceptor, settings.caller_address));
   BOOST_OUTCOME_TRY(
@@ -69,7 +72,28 @@
   return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
 }
 
+void GatewayServer::MakeRoomForSession() {
+  if (m_context.sessions.size() < m_max_caller_connections) {
+    return;
+  }
+  GatewaySession* oldest = nullptr;
+  for (GatewaySession* session : m_context.sessions) {
+    const auto since = session->waiting_since();
+    if (since && (oldest == nullptr || *since < *oldest->waiting_since())) {
+      oldest = session;
+    }
+  }
+  if (oldest != nullptr) {
+    oldest->Evict();
+  }
+}
+
 void GatewayServer::StartSession(Socket socket) {
+  MakeRoomForSession();
+  if (m_context.sessions.size() >= m_max_caller_connections + kMaxAcceptBatch) {
+    m_context.metrics.IncrementEvent("caller_refused");
+    return;
+  }
   auto session = std::make_shared<GatewaySession>(m_context, std::move(socket));
   boost::asio::co_spawn(
       m_context.executor, [session] { return session->Run(); },
--- a/src/transport/gateway/gateway_server.h
+++ b/src/transport/gateway/gateway_server.h
@@ -61,9 +61,13 @@
       boost::asio::basic_socket_acceptor<boost::asio::ip::tcp, Executor>;
 
   GatewayServer(GatewayContext& context,
+                std::size_t max_caller_connections,
                 std::function<bool()> is_ready,
                 std::function<void()> update_metrics);
 
+  // Closes the connection that has waited longest for bytes of a request, if
+  // there are too many.
+  void MakeRoomForSession();
   void StartSession(Socket socket);
   Task<void> ServeStatus(Socket socket);
   // Body for /metrics and /keys; empty for a readiness check.
@@ -74,6 +78,7 @@
   std::function<void()> m_update_metrics;
   Acceptor m_caller_acceptor;
   Acceptor m_status_acceptor;
+  std::size_t m_max_caller_connections;
 };
 
 }  // namespace snipehall
--- a/src/transport/gateway/gateway_session.cc
+++ b/src/transport/gateway/gateway_session.cc
@@ -20,6 +20,12 @@
 constexpr Milliseconds kWriteTimeout{5000};
 // Time limit for each read of a request's body.
 constexpr Milliseconds kBodyReadTimeout{5000};
+// Time limit for the body of a request without a route, from its first byte.
+constexpr Milliseconds kUnroutedBodyTimeout{5000};
+// Retry-After of a request for which there is no memory.
+constexpr Milliseconds kMemoryRetryAfter{300};
+// A head is held by its parser as well.
+constexpr std::size_t kHeadCopies = 2;
 // Time that a caller has to close the connection after its last response.
 constexpr Milliseconds kCloseTimeout{1000};
 // Minimum time for which a connection has been idle, or open without a request,
@@ -81,6 +87,19 @@
   m_context.sessions.erase(this);
 }
 
+std::optional<MonotonicTime> GatewaySession::waiting_since() const {
+  if (m_ended || m_close_announced || !m_pipeline.empty()) {
+    return std::nullopt;
+  }
+  return m_receiving ? m_receiving_since : m_idle_since;
+}
+
+void GatewaySession::Evict() {
+  m_context.metrics.IncrementEvent("caller_evicted");
+  End();
+  m_stream->Cancel();
+}
+
 void GatewaySession::CloseIfIdle() {
   if (!busy() && !m_stream->HasUnreadInput() &&
       Now() - m_idle_since >= kShutdownIdleTime) {
@@ -244,13 +263,19 @@
     if (!input.empty() && !m_receiving) {
       m_receiving = true;
       exchange.request.received_at = UnreadSince();
+      m_receiving_since = exchange.request.received_at;
     }
     const std::size_t size = FindHeadEnd(input.substr(0, max_size));
     if (size > 0) {
-      if (ParseHead(exchange.request, size)) {
-        co_return true;
+      if (!ParseHead(exchange.request, size)) {
+        co_return Reject(exchange, 400, "malformed head");
       }
-      co_return Reject(exchange, 400, "malformed head");
+      // Only the first request of a connection has memory in any case.
+      exchange.request.memory = BufferBudget::Reservation(
+          m_context.request_buffers,
+          m_pipeline.empty() ? BufferBudget::kGuaranteedBytes : 0);
+      co_return exchange.request.memory.TryGrow(size * kHeadCopies) ||
+          RejectForMemory(exchange);
     }
     if (!CheckHeadBytes(input)) {
       co_return Reject(exchange, 400, "malformed head");
@@ -320,22 +345,30 @@
     co_await m_stream->Write(
         {boost::asio::buffer(kContinueResponse), {}, {}, {}}, ignored);
   }
-  if (const auto length = parser.content_length()) {
-    request.body.reserve(static_cast<std::size_t>(*length));
-  }
+  const MonotonicTime due_at = request.route == nullptr
+                                   ? request.received_at + kUnroutedBodyTimeout
+                                   : request.deadline;
   m_cancel_expired_read = true;
   error_code error;
-  while (!error && !parser.is_done() && request.body.size() <= limit) {
+  bool has_memory = true;
+  while (!error && !parser.is_done() && request.body.size() <= limit &&
+         has_memory && !m_ended) {
     m_read_expired = false;
-    m_read_timer->Arm(Now() + kBodyReadTimeout);
+    m_read_timer->Arm(std::min(due_at, Now() + kBodyReadTimeout));
     BodyFragment piece;
     error = co_await ReadBodyFragment(*m_stream, parser, piece);
     if (!error) {
-      request.body.append(piece.bytes);
+      has_memory = AppendToBody(request, piece.bytes);
       m_stream->Consume(piece.consumed);
     }
   }
   m_cancel_expired_read = false;
+  if (m_ended) {
+    co_return false;
+  }
+  if (!has_memory) {
+    co_return RejectForMemory(exchange);
+  }
   if (request.body.size() > limit) {
     co_return Reject(exchange, 413, "body too large");
   }
@@ -348,6 +381,20 @@
   co_return !error;
 }
 
+bool GatewaySession::AppendToBody(GatewayRequest& request,
+                                  std::string_view piece) {
+  if (!request.memory.TryGrow(piece.size())) {
+    return false;
+  }
+  const std::uint64_t length = request.parser->content_length().value_or(0);
+  if (request.body.empty() && length > 0) {
+    // Memory that no byte has been written to is not in use yet.
+    request.body.reserve(static_cast<std::size_t>(length));
+  }
+  request.body.append(piece);
+  return true;
+}
+
 bool GatewaySession::FindRoute(Exchange& exchange) {
   GatewayRequest& request = exchange.request;
   GatewayOutcome& outcome = exchange.outcome;
@@ -386,6 +433,15 @@
   return false;
 }
 
+bool GatewaySession::RejectForMemory(Exchange& exchange) {
+  m_context.metrics.IncrementEvent("request_memory_refused");
+  exchange.request.memory.Clear();
+  std::string().swap(exchange.request.body);
+  Reject(exchange, 503, "no memory for the request");
+  exchange.outcome.retry_after = kMemoryRetryAfter;
+  return false;
+}
+
 Task<void> GatewaySession::Serve(std::shared_ptr<Exchange> exchange) {
   GatewayRequest& request = exchange->request;
   request.ClearStepDeadline();
--- a/src/transport/gateway/gateway_session.h
+++ b/src/transport/gateway/gateway_session.h
@@ -38,6 +38,12 @@
   bool busy() const { return m_receiving || !m_pipeline.empty(); }
   // Whether more requests may be read or responses have to be sent.
   bool open() const { return busy() || !(m_ended || m_close_announced); }
+  // When the session began to wait for bytes of a request; nothing while a
+  // request is in progress.
+  std::optional<MonotonicTime> waiting_since() const;
+  // Closes the connection, which waits for bytes of a request, without a
+  // response: there are too many connections.
+  void Evict();
   // Closes the connection unless a request is in progress or has arrived, or
   // the connection is so new that its first request may be on its way. For
   // shutdown.
@@ -84,8 +90,12 @@
   Task<bool> WriteResponse(Exchange& exchange);
   // Header lines that only other instances get.
   std::string FieldsForInstance(const Exchange& exchange) const;
+  // Adds a piece of the body. False if there is no memory for it.
+  static bool AppendToBody(GatewayRequest& request, std::string_view piece);
   // Makes `outcome` the response of `exchange`, which is the last one read.
   static bool Reject(Exchange& exchange, int status, std::string_view cause);
+  // The same for a request for which there is no memory now.
+  bool RejectForMemory(Exchange& exchange);
   void RecordOutcome(const GatewayRouter& router, const Exchange& exchange);
   // Ends the session's work: no request is read any more, and those in progress
   // are cancelled.
@@ -123,6 +133,8 @@
   bool m_read_expired = false;
   // A request has begun to arrive and is not complete.
   bool m_receiving = false;
+  // When it began to arrive.
+  MonotonicTime m_receiving_since;
   // The current read is cancelled when its time limit expires. Only while no
   // response is being sent, because that would be cancelled as well.
   bool m_cancel_expired_read = false;
--- a/src/transport/gateway/gateway_settings.h
+++ b/src/transport/gateway/gateway_settings.h
@@ -30,6 +30,11 @@
   // Network link of the instance, Mbit/s; zero when unknown. Instances with
   // faster links are preferred as the leader and as relays of the log.
   LinkRate link_mbps = 0;
+  // Memory for the heads and bodies of callers' requests that are being
+  // received or served, bytes; see BufferBudget.
+  std::size_t request_buffer_bytes = std::size_t{512} << 20;
+  // Maximum number of connections of callers.
+  std::size_t max_caller_connections = 10000;
   // Memory for responses of targets that are being received or sent on, bytes.
   std::size_t response_buffer_bytes = std::size_t{64} << 20;
   // Time from the signal to stop within which the process must end.
