Send the load of targets apart from the leader's responses

Change: the load of targets and the busy keys follow in a message of their own, which earlier builds drop; the receive buffer has 16 KiB. Reports carry 32 targets at most. A request that has been sent before goes first.

--- a/src/coordination/leader_message.h
+++ b/src/coordination/leader_message.h
@@ -45,9 +45,14 @@
   // For each service of which the receiver reaches no target: "address:port" of
   // instances that serve requests for it.
   std::map<ServiceName, std::vector<std::string>, std::less<>> forwarders;
+};
+
+// Follows the leader's response to a report, where the configuration asks for
+// it. Earlier builds do not know it, and could not receive one as large.
+struct LeaderTargetLoads {
   // Load and speed of targets by the reports of all instances; see
   // TargetLoadCollector.
-  std::vector<TargetLoadSummary> target_loads;
+  std::vector<TargetLoadSummary> targets;
   // Part of the requests for busy keys that may be sent; see
   // KeyAdmissionPlanner.
   std::map<ServiceName, KeyFractions, std::less<>> key_admissions;
@@ -136,6 +141,7 @@
   InstanceId from;
   std::variant<LeaderReport,
                LeaderServing,
+               LeaderTargetLoads,
                LeaderMovesCompleted,
                LeaderNotServing,
                LeaderReplaced,
--- a/src/coordination/target_load_table.cc
+++ b/src/coordination/target_load_table.cc
@@ -72,6 +72,9 @@
     if (!entry.is_unreported && entry.responses == 0) {
       continue;
     }
+    if (samples.size() == kMaxReportTargets) {
+      break;
+    }
     TargetLoadSample sample;
     sample.target = id;
     if (entry.is_unreported) {
--- a/src/coordination/target_load_table.h
+++ b/src/coordination/target_load_table.h
@@ -61,6 +61,9 @@
 // observations count.
 class TargetLoadTable {
  public:
+  // Maximum number of targets in a report to the leader, so that it fits in one
+  // datagram; the others follow in the next.
+  static constexpr std::size_t kMaxReportTargets = 32;
   // Age from which on the load of a report is unknown.
   static constexpr Milliseconds kReportLifetime{1500};
   // Age from which on a summary's estimates are ignored; see Find().
--- a/src/protocol/lead_message.capnp
+++ b/src/protocol/lead_message.capnp
@@ -38,6 +38,8 @@
     blocked @11 :List(UInt64);
     # To the leader: a target has stated that it is leaving.
     leaving @12 :TargetLeaving;
+    # From the leader, after serving: load of targets and busy keys.
+    targetLoads @13 :TargetLoads;
   }
 }
 
@@ -99,10 +101,13 @@
   # For each service of which the receiver reaches no target: instances that serve
   # requests for it.
   forwarders @3 :List(Forwarders);
+}
+
+struct TargetLoads {
   # Load and speed of targets by the reports of all instances.
-  targetLoads @4 :List(TargetLoadSummary);
+  targets @0 :List(TargetLoadSummary);
   # The busy keys of which only a part of the requests may be sent.
-  keyAdmissions @5 :List(KeyAdmissions);
+  keyAdmissions @1 :List(KeyAdmissions);
 }
 
 struct Forwarders {
--- a/src/protocol/lead_message.capnp.h
+++ b/src/protocol/lead_message.capnp.h
@@ -22,6 +22,7 @@
 CAPNP_DECLARE_SCHEMA(e6b06e6ff1ed8f68);
 CAPNP_DECLARE_SCHEMA(efddb7512a5303b6);
 CAPNP_DECLARE_SCHEMA(afe7dc51da1b3174);
+CAPNP_DECLARE_SCHEMA(e64ad1086862ca21);
 CAPNP_DECLARE_SCHEMA(d2536888ae269058);
 CAPNP_DECLARE_SCHEMA(e525d6843db21571);
 CAPNP_DECLARE_SCHEMA(eb21fb7be1473318);
@@ -56,6 +57,7 @@
     HARMLESS,
     BLOCKED,
     LEAVING,
+    TARGET_LOADS,
   };
 
   struct _capnpPrivate {
@@ -134,7 +136,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(afe7dc51da1b3174, 1, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(afe7dc51da1b3174, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct TargetLoads {
+  TargetLoads() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e64ad1086862ca21, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -330,6 +347,10 @@
   inline bool hasLeaving() const;
   inline  ::snipehall::wire::TargetLeaving::Reader getLeaving() const;
 
+  inline bool isTargetLoads() const;
+  inline bool hasTargetLoads() const;
+  inline  ::snipehall::wire::TargetLoads::Reader getTargetLoads() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -452,6 +473,14 @@
   inline void adoptLeaving(::capnp::Orphan< ::snipehall::wire::TargetLeaving>&& value);
   inline ::capnp::Orphan< ::snipehall::wire::TargetLeaving> disownLeaving();
 
+  inline bool isTargetLoads();
+  inline bool hasTargetLoads();
+  inline  ::snipehall::wire::TargetLoads::Builder getTargetLoads();
+  inline void setTargetLoads( ::snipehall::wire::TargetLoads::Reader value);
+  inline  ::snipehall::wire::TargetLoads::Builder initTargetLoads();
+  inline void adoptTargetLoads(::capnp::Orphan< ::snipehall::wire::TargetLoads>&& value);
+  inline ::capnp::Orphan< ::snipehall::wire::TargetLoads> disownTargetLoads();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -948,12 +977,6 @@
   inline bool hasForwarders() const;
   inline  ::capnp::List< ::snipehall::wire::Forwarders,  ::capnp::Kind::STRUCT>::Reader getForwarders() const;
 
-  inline bool hasTargetLoads() const;
-  inline  ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>::Reader getTargetLoads() const;
-
-  inline bool hasKeyAdmissions() const;
-  inline  ::capnp::List< ::snipehall::wire::KeyAdmissions,  ::capnp::Kind::STRUCT>::Reader getKeyAdmissions() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1002,12 +1025,89 @@
   inline void adoptForwarders(::capnp::Orphan< ::capnp::List< ::snipehall::wire::Forwarders,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::snipehall::wire::Forwarders,  ::capnp::Kind::STRUCT>> disownForwarders();
 
-  inline bool hasTargetLoads();
-  inline  ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>::Builder getTargetLoads();
-  inline void setTargetLoads( ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>::Builder initTargetLoads(unsigned int size);
-  inline void adoptTargetLoads(::capnp::Orphan< ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>> disownTargetLoads();
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Serving::Pipeline {
+public:
+  typedef Serving Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class TargetLoads::Reader {
+public:
+  typedef TargetLoads Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTargets() const;
+  inline  ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>::Reader getTargets() const;
+
+  inline bool hasKeyAdmissions() const;
+  inline  ::capnp::List< ::snipehall::wire::KeyAdmissions,  ::capnp::Kind::STRUCT>::Reader getKeyAdmissions() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TargetLoads::Builder {
+public:
+  typedef TargetLoads Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTargets();
+  inline  ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>::Builder getTargets();
+  inline void setTargets( ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>::Builder initTargets(unsigned int size);
+  inline void adoptTargets(::capnp::Orphan< ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>> disownTargets();
 
   inline bool hasKeyAdmissions();
   inline  ::capnp::List< ::snipehall::wire::KeyAdmissions,  ::capnp::Kind::STRUCT>::Builder getKeyAdmissions();
@@ -1026,9 +1126,9 @@
 };
 
 #if !CAPNP_LITE
-class Serving::Pipeline {
+class TargetLoads::Pipeline {
 public:
-  typedef Serving Pipelines;
+  typedef TargetLoads Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2383,6 +2483,60 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool LeadMessage::Reader::isTargetLoads() const {
+  return which() == LeadMessage::TARGET_LOADS;
+}
+inline bool LeadMessage::Builder::isTargetLoads() {
+  return which() == LeadMessage::TARGET_LOADS;
+}
+inline bool LeadMessage::Reader::hasTargetLoads() const {
+  if (which() != LeadMessage::TARGET_LOADS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool LeadMessage::Builder::hasTargetLoads() {
+  if (which() != LeadMessage::TARGET_LOADS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::snipehall::wire::TargetLoads::Reader LeadMessage::Reader::getTargetLoads() const {
+  KJ_IREQUIRE((which() == LeadMessage::TARGET_LOADS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::snipehall::wire::TargetLoads>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::snipehall::wire::TargetLoads::Builder LeadMessage::Builder::getTargetLoads() {
+  KJ_IREQUIRE((which() == LeadMessage::TARGET_LOADS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::snipehall::wire::TargetLoads>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void LeadMessage::Builder::setTargetLoads( ::snipehall::wire::TargetLoads::Reader value) {
+  _builder.setDataField<LeadMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LeadMessage::TARGET_LOADS);
+  ::capnp::_::PointerHelpers< ::snipehall::wire::TargetLoads>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::snipehall::wire::TargetLoads::Builder LeadMessage::Builder::initTargetLoads() {
+  _builder.setDataField<LeadMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LeadMessage::TARGET_LOADS);
+  return ::capnp::_::PointerHelpers< ::snipehall::wire::TargetLoads>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void LeadMessage::Builder::adoptTargetLoads(
+    ::capnp::Orphan< ::snipehall::wire::TargetLoads>&& value) {
+  _builder.setDataField<LeadMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LeadMessage::TARGET_LOADS);
+  ::capnp::_::PointerHelpers< ::snipehall::wire::TargetLoads>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::snipehall::wire::TargetLoads> LeadMessage::Builder::disownTargetLoads() {
+  KJ_IREQUIRE((which() == LeadMessage::TARGET_LOADS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::snipehall::wire::TargetLoads>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool Report::Reader::hasZone() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2990,72 +3144,72 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Serving::Reader::hasTargetLoads() const {
+inline bool TargetLoads::Reader::hasTargets() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Serving::Builder::hasTargetLoads() {
+inline bool TargetLoads::Builder::hasTargets() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>::Reader Serving::Reader::getTargetLoads() const {
+inline  ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>::Reader TargetLoads::Reader::getTargets() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>::Builder Serving::Builder::getTargetLoads() {
+inline  ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>::Builder TargetLoads::Builder::getTargets() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Serving::Builder::setTargetLoads( ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void TargetLoads::Builder::setTargets( ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>::Builder Serving::Builder::initTargetLoads(unsigned int size) {
+inline  ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>::Builder TargetLoads::Builder::initTargets(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Serving::Builder::adoptTargetLoads(
+inline void TargetLoads::Builder::adoptTargets(
     ::capnp::Orphan< ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>> Serving::Builder::disownTargetLoads() {
+inline ::capnp::Orphan< ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>> TargetLoads::Builder::disownTargets() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::TargetLoadSummary,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Serving::Reader::hasKeyAdmissions() const {
+inline bool TargetLoads::Reader::hasKeyAdmissions() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Serving::Builder::hasKeyAdmissions() {
+inline bool TargetLoads::Builder::hasKeyAdmissions() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::snipehall::wire::KeyAdmissions,  ::capnp::Kind::STRUCT>::Reader Serving::Reader::getKeyAdmissions() const {
+inline  ::capnp::List< ::snipehall::wire::KeyAdmissions,  ::capnp::Kind::STRUCT>::Reader TargetLoads::Reader::getKeyAdmissions() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::KeyAdmissions,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::snipehall::wire::KeyAdmissions,  ::capnp::Kind::STRUCT>::Builder Serving::Builder::getKeyAdmissions() {
+inline  ::capnp::List< ::snipehall::wire::KeyAdmissions,  ::capnp::Kind::STRUCT>::Builder TargetLoads::Builder::getKeyAdmissions() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::KeyAdmissions,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Serving::Builder::setKeyAdmissions( ::capnp::List< ::snipehall::wire::KeyAdmissions,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void TargetLoads::Builder::setKeyAdmissions( ::capnp::List< ::snipehall::wire::KeyAdmissions,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::KeyAdmissions,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::snipehall::wire::KeyAdmissions,  ::capnp::Kind::STRUCT>::Builder Serving::Builder::initKeyAdmissions(unsigned int size) {
+inline  ::capnp::List< ::snipehall::wire::KeyAdmissions,  ::capnp::Kind::STRUCT>::Builder TargetLoads::Builder::initKeyAdmissions(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::KeyAdmissions,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Serving::Builder::adoptKeyAdmissions(
+inline void TargetLoads::Builder::adoptKeyAdmissions(
     ::capnp::Orphan< ::capnp::List< ::snipehall::wire::KeyAdmissions,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::KeyAdmissions,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::snipehall::wire::KeyAdmissions,  ::capnp::Kind::STRUCT>> Serving::Builder::disownKeyAdmissions() {
+inline ::capnp::Orphan< ::capnp::List< ::snipehall::wire::KeyAdmissions,  ::capnp::Kind::STRUCT>> TargetLoads::Builder::disownKeyAdmissions() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::snipehall::wire::KeyAdmissions,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool Forwarders::Reader::hasService() const {
--- a/src/protocol/leader_message_codec.cc
+++ b/src/protocol/leader_message_codec.cc
@@ -121,17 +121,21 @@
       addresses.push_back(FromText(address));
     }
   }
-  serving.target_loads = ReadTargetLoads(reader.getTargetLoads());
+  return serving;
+}
+
+LeaderTargetLoads ReadTargetLoads(wire::TargetLoads::Reader reader) {
+  LeaderTargetLoads loads;
+  loads.targets = ReadTargetLoads(reader.getTargets());
   for (const auto item : reader.getKeyAdmissions()) {
-    KeyFractions& fractions =
-        serving.key_admissions[FromText(item.getService())];
+    KeyFractions& fractions = loads.key_admissions[FromText(item.getService())];
     const auto keys = item.getKeys();
     const auto admitted = item.getAdmittedPerMille();
     for (unsigned i = 0; i < std::min(keys.size(), admitted.size()); ++i) {
       fractions[keys[i]] = std::min(admitted[i] / 1000.0, 1.0);
     }
   }
-  return serving;
+  return loads;
 }
 
 // Writes what samples and summaries have in common.
@@ -199,18 +203,21 @@
         list.set(i, ToText(addresses[i]));
       }
     }
-    auto loads = builder.initTargetLoads(
-        static_cast<unsigned>(serving.target_loads.size()));
+  }
+  void operator()(const LeaderTargetLoads& content) {
+    auto builder = root.initTargetLoads();
+    auto loads =
+        builder.initTargets(static_cast<unsigned>(content.targets.size()));
     for (unsigned i = 0; i < loads.size(); ++i) {
-      const TargetLoadSummary& summary = serving.target_loads[i];
+      const TargetLoadSummary& summary = content.targets[i];
       WriteReportedLoad(summary, loads[i]);
       loads[i].setRelativeTimePercent(
           ToField(std::lround(summary.relative_time * 100)));
     }
     auto services = builder.initKeyAdmissions(
-        static_cast<unsigned>(serving.key_admissions.size()));
-    index = 0;
-    for (const auto& [service, fractions] : serving.key_admissions) {
+        static_cast<unsigned>(content.key_admissions.size()));
+    unsigned index = 0;
+    for (const auto& [service, fractions] : content.key_admissions) {
       WriteKeyAdmissions(service, fractions, services[index++]);
     }
   }
@@ -281,6 +288,9 @@
     case wire::LeadMessage::SERVING:
       message.content = ReadServing(reader.getServing());
       return message;
+    case wire::LeadMessage::TARGET_LOADS:
+      message.content = ReadTargetLoads(reader.getTargetLoads());
+      return message;
     case wire::LeadMessage::SETTLED: {
       LeaderMovesCompleted completed;
       for (const std::uint64_t fencing_token : reader.getSettled()) {
--- a/src/transport/gateway/gateway_control.h
+++ b/src/transport/gateway/gateway_control.h
@@ -445,8 +445,10 @@
            LeaderServing{relay, m_relay_planner.fastest_link(),
                          m_instances.Count(now).value_or(0),
                          ChooseForwarders(now, ToAddress(sender), report->zone,
-                                          report->cut_off_services),
-                         m_target_load_summary, m_key_admissions}});
+                                          report->cut_off_services)}});
+      if (m_services.learns_capacity()) {
+        m_link.Send(sender, {m_instance, m_target_loads});
+      }
       m_reporters.insert_or_assign(sender, now);
       std::vector<FencingToken> completed = m_key_leader.CompletedMoves();
       if (!completed.empty()) {
@@ -471,8 +473,11 @@
       if (serving->instances > 0) {
         m_instances.OnLeaderCount(serving->instances);
       }
-      m_services.target_loads().OnSummary(now, serving->target_loads);
-      m_state.SetKeyAdmissions(now, serving->key_admissions);
+    } else if (const auto* loads =
+                   std::get_if<LeaderTargetLoads>(&message.content)) {
+      if (message.from == m_state.keys().leader) {
+        ApplyTargetLoads(now, *loads);
+      }
     } else if (const auto* moves_completed =
                    std::get_if<LeaderMovesCompleted>(&message.content)) {
       m_state.AddCompletedMoves(moves_completed->fencing_tokens);
@@ -578,16 +583,17 @@
   // the next responses to reports.
   void UpdateTargetLoads(MonotonicTime now) {
     m_target_load_collector.OnReport(now, TakeTargetLoads(now));
-    m_target_load_summary.clear();
-    m_key_admissions.clear();
-    if (!m_services.learns_capacity()) {
-      return;
+    if (m_services.learns_capacity()) {
+      m_target_loads = {m_target_load_collector.NextSummary(
+                            now, m_state.targets(), KeyedServices()),
+                        m_key_leader.PlanKeyAdmissions(now)};
+      ApplyTargetLoads(now, m_target_loads);
     }
-    m_target_load_summary = m_target_load_collector.NextSummary(
-        now, m_state.targets(), KeyedServices());
-    m_key_admissions = m_key_leader.PlanKeyAdmissions(now);
-    m_services.target_loads().OnSummary(now, m_target_load_summary);
-    m_state.SetKeyAdmissions(now, m_key_admissions);
+  }
+
+  void ApplyTargetLoads(MonotonicTime now, const LeaderTargetLoads& loads) {
+    m_services.target_loads().OnSummary(now, loads.targets);
+    m_state.SetKeyAdmissions(now, loads.key_admissions);
   }
 
   // The services whose requests carry keys.
@@ -1253,8 +1259,7 @@
   InstanceCounter m_instances;
   TargetLoadCollector m_target_load_collector;
   // For the responses to reports until the next UpdateTargetLoads().
-  std::vector<TargetLoadSummary> m_target_load_summary;
-  std::map<ServiceName, KeyFractions, std::less<>> m_key_admissions;
+  LeaderTargetLoads m_target_loads;
   SharedRateLimiter m_rate_limiter;
   PermitRequests m_permit_requests;
   // Addresses of the instances that report to this one as the leader, with the
--- a/src/transport/gateway/gateway_router.cc
+++ b/src/transport/gateway/gateway_router.cc
@@ -327,7 +327,10 @@
           .ServiceTime(route.name)
           .value_or(Milliseconds(0));
   AdmissionInput input;
-  input.priority = route.priority;
+  // What has cost a target work already goes first.
+  input.priority = m_attempts > 0
+                       ? std::min(route.priority, m_service->urgent_priority)
+                       : route.priority;
   input.urgent_priority = m_service->urgent_priority;
   input.urgent_objective = m_service->urgent_objective;
   input.received_at = m_request.received_at;
--- a/src/transport/gateway/leader_link.h
+++ b/src/transport/gateway/leader_link.h
@@ -51,7 +51,7 @@
   static constexpr int kMaxReceiveBatch = 64;
   // Limit of a received datagram; a longer one is truncated and fails to
   // decode.
-  static constexpr std::size_t kMaxDatagramBytes = 4096;
+  static constexpr std::size_t kMaxDatagramBytes = std::size_t{16} * 1024;
 
   UdpSocket m_socket;
   OnMessage m_on_message;
