Take no reset for the end of a response without a length

Cause: a target that answers a long upload early, with a body that ends with the connection, and resets the connection while the upload is being written: the failed write takes the reset from the socket, the next read shows the end of the stream, and the part of the body went to the caller as a complete 200.

Change: a response that ends with its connection is complete only if the request was sent completely.

A status of 000 was not passed on before either; status_000_is_no_response keeps it so.

--- a/src/transport/gateway/target_exchange.cc
+++ b/src/transport/gateway/target_exchange.cc
@@ -214,6 +214,11 @@
       co_return error_code(http::error::body_limit);
     }
   }
+  // A write that failed because the target reset the connection has taken the
+  // error from the socket, so that the reset reads like the end of a body.
+  if (m_parser->need_eof() && !m_request_sent) {
+    co_return error_code(http::error::partial_message);
+  }
   m_response_complete = true;
   co_return error_code();
 }
--- a/tests/unit/gateway_hostile_target_test.cc
+++ b/tests/unit/gateway_hostile_target_test.cc
@@ -190,6 +190,48 @@
   cr_assert(ReadResponse(caller).status == 502);
 }
 
+// A target responds before it has read a long request, sends a part of a body
+// that ends with the connection, and resets it while the request is still being
+// sent. The failed write takes the reset from the socket, so the part looks
+// like a body that ends with the connection.
+Test(gateway_hostile_target,
+     early_response_that_ends_by_a_reset_is_no_success,
+     .timeout = 60) {
+  constexpr int kRequests = 40;
+  const std::string body(std::size_t{12} << 20, 'a');
+  FakeTarget target([](RawSocket& connection, const std::string& head) {
+    connection.Send("HTTP/1.1 200 OK\r\nSnipehall-Request-Id: " + IdOf(head) +
+                    "\r\nSnipehall-Signature: s\r\n\r\nhalf of the body");
+    connection.Reset();
+    return false;
+  });
+  GatewayFixture gateway({target.address()});
+  for (int i = 0; i < kRequests; ++i) {
+    RawSocket caller = gateway.Connect();
+    cr_assert(caller.Send(
+        GatewayFixture::Request(
+            "POST", "/order/new", std::to_string(i),
+            "Content-Length: " + std::to_string(body.size()) + "\r\n") +
+        body));
+    const int status = ReadResponse(caller).status;
+    cr_assert(status == 502, "request %d got status %d", i, status);
+  }
+}
+
+// A status that HTTP does not have is no response.
+Test(gateway_hostile_target, status_000_is_no_response) {
+  FakeTarget target([](RawSocket& connection, const std::string& head) {
+    connection.ReadExactly(2);
+    return connection.Send(
+        "HTTP/1.1 000 Trouble\r\nSnipehall-Request-Id: " + IdOf(head) +
+        "\r\nSnipehall-Signature: s\r\nContent-Length: 2\r\n\r\nno");
+  });
+  GatewayFixture gateway({target.address()});
+  RawSocket caller = gateway.Connect();
+  cr_assert(caller.Send(Order("a")));
+  cr_assert(ReadResponse(caller).status == 502);
+}
+
 // Bytes that never end, in each part of a response.
 struct EndlessResponse {
   std::string begin;
