--- a/src/coordination/key_admission_planner.cc
+++ b/src/coordination/key_admission_planner.cc
@@ -55,15 +55,15 @@
   if (busy.size() <= KeyAdmissionPlanner::kMaxKeys) {
     return;
   }
-  std::vector<double> fractions;
-  fractions.reserve(busy.size());
+  std::vector<std::pair<double, KeyNumber>> keys;
+  keys.reserve(busy.size());
   for (const auto& [key, fraction] : busy) {
-    fractions.push_back(fraction);
+    keys.emplace_back(fraction, key);
   }
-  const auto last = fractions.begin() + KeyAdmissionPlanner::kMaxKeys;
-  std::nth_element(fractions.begin(), last, fractions.end());
-  std::erase_if(
-      busy, [limit = *last](const auto& item) { return item.second >= limit; });
+  const auto first_dropped = keys.begin() + KeyAdmissionPlanner::kMaxKeys;
+  std::nth_element(keys.begin(), first_dropped, keys.end());
+  std::for_each(first_dropped, keys.end(),
+                [&busy](const auto& item) { busy.erase(item.second); });
 }
 
 }  // namespace
--- a/src/coordination/target_load_collector.cc
+++ b/src/coordination/target_load_collector.cc
@@ -17,12 +17,15 @@
 }  // namespace
 
 double TargetLoadCollector::Entry::Time() const {
-  return (slow_time + kPriorResponses) / (slow_responses + kPriorResponses);
+  const double assumed = kPriorResponses - known_responses;
+  return (slow_time + assumed) / (slow_responses + assumed);
 }
 
 void TargetLoadCollector::AddResponses(Entry& entry,
                                        double responses,
                                        double time) {
+  entry.known_responses =
+      std::min(entry.known_responses + responses, kPriorResponses);
   const double slow_decay = Decay(kSlowSample, responses);
   entry.slow_responses = entry.slow_responses * slow_decay + responses;
   entry.slow_time = entry.slow_time * slow_decay + time;
--- a/src/coordination/target_load_collector.h
+++ b/src/coordination/target_load_collector.h
@@ -31,10 +31,10 @@
   // Number of responses over which the speed of a target is taken, and of the
   // newest ones that may replace it.
   static constexpr double kSlowSample = 60;
-  static constexpr double kFastSample = 8;
+  static constexpr double kFastSample = 5;
   // Factor by which the newest responses must differ from earlier ones to
   // replace them.
-  static constexpr double kChangeFactor = 1.8;
+  static constexpr double kChangeFactor = 1.5;
   // Number of responses that an unknown target is assumed to have had at the
   // mean speed of its service.
   static constexpr double kPriorResponses = 6;
@@ -67,6 +67,8 @@
     double slow_time = 0;
     double fast_responses = 0;
     double fast_time = 0;
+    // All responses, up to kPriorResponses.
+    double known_responses = 0;
     // Relative to the mean of the service, as of the last Normalize().
     double relative_time = 1;
 
