Learn the speed of full targets; let reports of load fade

Change: a full target's response gives a sample that is corrected by its queue; a report of load counts less as it ages, for 1 s; less urgent requests may find 0.7 instead of 0.5 of the queue of the next more urgent ones; a full pair of candidates makes the chooser look at the others of its zone.

--- a/src/coordination/completion_chooser.cc
+++ b/src/coordination/completion_chooser.cc
@@ -47,9 +47,20 @@
       Draw(candidates, random, [local, first](const auto& item) {
         return item.local == local && &item != first;
       });
-  return second != nullptr && second->Completion() < first->Completion()
-             ? second
-             : first;
+  const CompletionCandidate* best =
+      second != nullptr && second->Completion() < first->Completion() ? second
+                                                                      : first;
+  if (best == nullptr || best->QueueLength() <= 0) {
+    return best;
+  }
+  // Both are full, so the others are worth a look.
+  for (const CompletionCandidate& candidate : candidates) {
+    if (candidate.local == local &&
+        candidate.Completion() < best->Completion()) {
+      best = &candidate;
+    }
+  }
+  return best;
 }
 
 }  // namespace
--- a/src/coordination/request_admission.h
+++ b/src/coordination/request_admission.h
@@ -61,7 +61,7 @@
   // Part of the urgent objective that may be spent in a target's queue.
   static constexpr double kQueueShare = 0.5;
   // Factor by which a queue must be shorter for each step of priority.
-  static constexpr double kPriorityFactor = 0.5;
+  static constexpr double kPriorityFactor = 0.7;
   // Part of the less urgent requests that are treated as urgent.
   static constexpr double kGuaranteedShare = 0.1;
   // Part of a request's objective for which it is held at most.
--- a/src/coordination/target_chooser.cc
+++ b/src/coordination/target_chooser.cc
@@ -83,7 +83,7 @@
       // The report includes this instance's own requests.
       candidate.slots = estimate->slots;
       candidate.outstanding =
-          std::max(entry.outstanding, *estimate->outstanding);
+          std::max<double>(entry.outstanding, *estimate->outstanding);
     }
   }
   candidate.slots *= SlowStartFactor(now, entry);
--- a/src/coordination/target_load_table.cc
+++ b/src/coordination/target_load_table.cc
@@ -100,8 +100,13 @@
   }
   const Entry& entry = found->second;
   TargetLoadEstimate estimate;
-  if (entry.loaded_at && now - *entry.loaded_at < kReportLifetime) {
-    estimate.outstanding = entry.load.outstanding;
+  const auto age = entry.loaded_at ? now - *entry.loaded_at : kReportLifetime;
+  if (age < kReportLifetime) {
+    // Queues are short-lived, so a report counts less as it ages.
+    const double weight =
+        1 - std::chrono::duration<double>(age) /
+                std::chrono::duration<double>(kReportLifetime);
+    estimate.outstanding = entry.load.outstanding * weight;
     estimate.slots = std::max(1, entry.load.slots);
   }
   if (entry.summary_at && now - *entry.summary_at < kSummaryLifetime) {
--- a/src/coordination/target_load_table.h
+++ b/src/coordination/target_load_table.h
@@ -46,7 +46,7 @@
 struct TargetLoadEstimate {
   // Requests at the target, of all instances, and its slots; nothing when no
   // recent report is known.
-  std::optional<int> outstanding;
+  std::optional<double> outstanding;
   int slots = 1;
   // See TargetLoadSummary.
   double relative_time = 1;
@@ -64,8 +64,9 @@
   // Maximum number of targets in a report to the leader, so that it fits in one
   // datagram; the others follow in the next.
   static constexpr std::size_t kMaxReportTargets = 32;
-  // Age from which on the load of a report is unknown.
-  static constexpr Milliseconds kReportLifetime{1500};
+  // Age at which the load of a report is ignored; its weight falls linearly
+  // until then.
+  static constexpr Milliseconds kReportLifetime{1000};
   // Age from which on a summary's estimates are ignored; see Find().
   static constexpr Milliseconds kSummaryLifetime{3000};
   // Number of responses over which the mean service time of a route is taken.
--- a/src/transport/gateway/gateway_router.cc
+++ b/src/transport/gateway/gateway_router.cc
@@ -574,11 +574,19 @@
 void GatewayRouter::RecordServiceTime(const TargetExchange& exchange,
                                       MonotonicTime sent) {
   const auto& load = exchange.info().load;
+  if (!m_keyed || !load || load->slots < 1) {
+    return;
+  }
+  const auto elapsed = std::chrono::duration_cast<Milliseconds>(Now() - sent);
   // While the target has free slots, the time has no queueing in it.
-  if (m_keyed && load && load->outstanding < load->slots) {
-    m_context.key_loads.OnAnswer(
-        m_service->name, m_target.id,
-        std::chrono::duration_cast<Milliseconds>(Now() - sent));
+  if (!load->IsFull()) {
+    m_context.key_loads.OnAnswer(m_service->name, m_target.id, elapsed);
+  } else if (m_context.services.learns_capacity()) {
+    // A full queue takes as many service times as it is long, in units of the
+    // slots. Without this, a target that is always full seems to be as fast as
+    // the others.
+    m_context.key_loads.OnAnswer(m_service->name, m_target.id,
+                                 elapsed * load->slots / load->outstanding);
   }
 }
 
