Count parsed fields and bound read-ahead of callers; evict no instance

Cause, found in a review: a connection of another instance could be evicted while that instance sent a request on it, which made the request's result unknown; so could an idle caller's connection with an unread request. Fields of heads and trailers need several times their size once parsed, which no budget counted. The read buffer of a connection with requests in progress grew to 64 KiB, and the times of reads took 16 bytes for each byte that arrived alone. A complete request could be refused when its last read had no bytes of the body and its share had shrunk. The write of 100 Continue had no time limit.

Change: only callers' connections count and are evicted, and none with an unread request. Each field counts with 96 bytes. With requests in progress, at most a whole head is read ahead; after 64 reads, times are kept to 50 ms. Growing by nothing always succeeds. The write of 100 Continue gets the time limit of responses.

--- a/src/coordination/buffer_budget.cc
+++ b/src/coordination/buffer_budget.cc
@@ -18,6 +18,11 @@
   if (m_budget == nullptr) {
     return false;
   }
+  // A message that is complete keeps what it has, also when its share is less
+  // by now.
+  if (bytes == 0) {
+    return true;
+  }
   const std::size_t share =
       std::max(m_guaranteed_bytes, m_budget->Share(m_size));
   if (bytes > share || m_size > share - bytes) {
--- a/src/transport/gateway/gateway_server.cc
+++ b/src/transport/gateway/gateway_server.cc
@@ -72,25 +72,32 @@
   return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
 }
 
-void GatewayServer::MakeRoomForSession() {
+bool GatewayServer::MakeRoomForSession() {
   if (m_context.sessions.size() < m_max_caller_connections) {
-    return;
+    return true;
   }
+  std::size_t callers = 0;
   GatewaySession* oldest = nullptr;
   for (GatewaySession* session : m_context.sessions) {
+    callers += session->from_instance() ? 0 : 1;
     const auto since = session->waiting_since();
-    if (since && (oldest == nullptr || *since < *oldest->waiting_since())) {
+    if (since && (oldest == nullptr || *since < *oldest->waiting_since()) &&
+        !session->HasUnreadRequest()) {
       oldest = session;
     }
   }
+  if (callers < m_max_caller_connections) {
+    return true;
+  }
   if (oldest != nullptr) {
     oldest->Evict();
   }
+  // Sessions that have been ended are still open until they have run.
+  return callers < m_max_caller_connections + kMaxAcceptBatch;
 }
 
 void GatewayServer::StartSession(Socket socket) {
-  MakeRoomForSession();
-  if (m_context.sessions.size() >= m_max_caller_connections + kMaxAcceptBatch) {
+  if (!MakeRoomForSession()) {
     m_context.metrics.IncrementEvent("caller_refused");
     return;
   }
--- a/src/transport/gateway/gateway_server.h
+++ b/src/transport/gateway/gateway_server.h
@@ -66,8 +66,8 @@
                 std::function<void()> update_metrics);
 
   // Closes the connection that has waited longest for bytes of a request, if
-  // there are too many.
-  void MakeRoomForSession();
+  // there are too many. Returns whether another one may be opened.
+  bool MakeRoomForSession();
   void StartSession(Socket socket);
   Task<void> ServeStatus(Socket socket);
   // Body for /metrics and /keys; empty for a readiness check.
--- a/src/transport/gateway/gateway_session.cc
+++ b/src/transport/gateway/gateway_session.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <exception>
+#include <iterator>
 
 #include "protocol/end_to_end_headers.h"
 #include "protocol/http_head_checks.h"
@@ -24,8 +25,13 @@
 constexpr Milliseconds kUnroutedBodyTimeout{5000};
 // Retry-After of a request for which there is no memory.
 constexpr Milliseconds kMemoryRetryAfter{300};
-// A head is held by its parser as well.
+// A head is held by its parser as well, with this much for each field.
 constexpr std::size_t kHeadCopies = 2;
+constexpr std::size_t kFieldBytes = 96;
+// Number of reads whose times are kept exactly, and the precision from there
+// on, which bounds the memory for input that arrives byte by byte.
+constexpr std::size_t kExactArrivals = 64;
+constexpr Milliseconds kArrivalPrecision{50};
 // Time that a caller has to close the connection after its last response.
 constexpr Milliseconds kCloseTimeout{1000};
 // Minimum time for which a connection has been idle, or open without a request,
@@ -46,6 +52,15 @@
   return value.substr(0, value.find(':'));
 }
 
+std::size_t CountFields(const http::fields& fields) {
+  return static_cast<std::size_t>(std::distance(fields.begin(), fields.end()));
+}
+
+// Memory of a head that has been parsed from `size` bytes.
+std::size_t HeadMemory(std::size_t size, const http::fields& fields) {
+  return size * kHeadCopies + CountFields(fields) * kFieldBytes;
+}
+
 // Whether the error comes from the HTTP parser and not from the connection.
 bool IsParserError(const error_code& error) {
   return error.category() ==
@@ -88,12 +103,18 @@
 }
 
 std::optional<MonotonicTime> GatewaySession::waiting_since() const {
-  if (m_ended || m_close_announced || !m_pipeline.empty()) {
+  // Another instance could not tell whether the request that it is sending has
+  // run.
+  if (m_from_instance || m_ended || m_close_announced || !m_pipeline.empty()) {
     return std::nullopt;
   }
   return m_receiving ? m_receiving_since : m_idle_since;
 }
 
+bool GatewaySession::HasUnreadRequest() {
+  return !m_receiving && m_stream->HasUnreadInput();
+}
+
 void GatewaySession::Evict() {
   m_context.metrics.IncrementEvent("caller_evicted");
   End();
@@ -121,6 +142,12 @@
                                   : RequestLimits();
 }
 
+std::size_t GatewaySession::max_head_bytes() const {
+  return std::min(
+      limits().max_head_bytes + (m_from_instance ? kMaxInstanceFieldBytes : 0),
+      ByteStream::kMaxCapacityBytes);
+}
+
 Task<void> GatewaySession::Run() {
   const auto self = shared_from_this();
   m_stream->set_on_input([this] {
@@ -161,7 +188,13 @@
   while (!m_arrivals.empty() && m_arrivals.front().first <= first_unread) {
     m_arrivals.pop_front();
   }
-  m_arrivals.emplace_back(m_stream->received_bytes(), Now());
+  const MonotonicTime now = Now();
+  if (m_arrivals.size() >= kExactArrivals &&
+      now - m_arrivals.back().second < kArrivalPrecision) {
+    m_arrivals.back().first = m_stream->received_bytes();
+  } else {
+    m_arrivals.emplace_back(m_stream->received_bytes(), now);
+  }
 }
 
 MonotonicTime GatewaySession::UnreadSince() {
@@ -174,7 +207,11 @@
 }
 
 Task<void> GatewaySession::WaitForEvent() {
-  m_stream->StartRead();
+  // Bytes behind a whole head are left to the kernel, so that the read buffer
+  // stays small while requests are in progress.
+  if (m_stream->data().size() < max_head_bytes()) {
+    m_stream->StartRead();
+  }
   if (!m_ended && m_stream->input_error()) {
     End();
     co_return;
@@ -254,9 +291,7 @@
     m_stream->ShrinkIfIdle();
   }
   const RequestLimits bounds = limits();
-  const std::size_t max_size = std::min(
-      bounds.max_head_bytes + (m_from_instance ? kMaxInstanceFieldBytes : 0),
-      ByteStream::kMaxCapacityBytes);
+  const std::size_t max_size = max_head_bytes();
   m_read_expired = false;
   while (!ending()) {
     const std::string_view input = m_stream->data();
@@ -274,7 +309,8 @@
       exchange.request.memory = BufferBudget::Reservation(
           m_context.request_buffers,
           m_pipeline.empty() ? BufferBudget::kGuaranteedBytes : 0);
-      co_return exchange.request.memory.TryGrow(size * kHeadCopies) ||
+      co_return exchange.request.memory.TryGrow(
+          HeadMemory(size, exchange.request.parser->get())) ||
           RejectForMemory(exchange);
     }
     if (!CheckHeadBytes(input)) {
@@ -341,13 +377,19 @@
     co_return Reject(exchange, 413, "body too large");
   }
   if (!parser.is_done() && parser.get().count(http::field::expect) > 0) {
+    m_write_timer->Arm(Now() + kWriteTimeout);
     std::size_t ignored = 0;
-    co_await m_stream->Write(
+    const error_code write_error = co_await m_stream->Write(
         {boost::asio::buffer(kContinueResponse), {}, {}, {}}, ignored);
+    m_write_timer->Disarm();
+    if (write_error) {
+      co_return false;
+    }
   }
   const MonotonicTime due_at = request.route == nullptr
                                    ? request.received_at + kUnroutedBodyTimeout
                                    : request.deadline;
+  const std::size_t head_fields = CountFields(parser.get());
   m_cancel_expired_read = true;
   error_code error;
   bool has_memory = true;
@@ -366,6 +408,10 @@
   if (m_ended) {
     co_return false;
   }
+  // The parser adds the fields of a trailer to those of the head.
+  has_memory = has_memory &&
+               request.memory.TryGrow(
+                   (CountFields(parser.get()) - head_fields) * kFieldBytes);
   if (!has_memory) {
     co_return RejectForMemory(exchange);
   }
--- a/src/transport/gateway/gateway_session.h
+++ b/src/transport/gateway/gateway_session.h
@@ -38,8 +38,12 @@
   bool busy() const { return m_receiving || !m_pipeline.empty(); }
   // Whether more requests may be read or responses have to be sent.
   bool open() const { return busy() || !(m_ended || m_close_announced); }
+  // Whether another instance forwards requests on the connection.
+  bool from_instance() const { return m_from_instance; }
+  // Whether a request has arrived on an idle connection and has not been read.
+  bool HasUnreadRequest();
   // When the session began to wait for bytes of a request; nothing while a
-  // request is in progress.
+  // request is in progress, and for connections of other instances.
   std::optional<MonotonicTime> waiting_since() const;
   // Closes the connection, which waits for bytes of a request, without a
   // response: there are too many connections.
@@ -113,6 +117,8 @@
   // When the first unread byte arrived.
   MonotonicTime UnreadSince();
   RequestLimits limits() const;
+  // Maximum size of a request's head on this connection, bytes.
+  std::size_t max_head_bytes() const;
 
   GatewayContext& m_context;
   std::shared_ptr<ByteStream> m_stream;
@@ -128,7 +134,8 @@
   // When the first read began or the last response was sent.
   MonotonicTime m_idle_since = MonotonicTime::max();
   // Reads that ended with unread bytes, oldest first: ByteStream's
-  // received_bytes() at their end, and their time.
+  // received_bytes() at their end, and their time. When there are many, those
+  // close to each other share the time of the first.
   std::deque<std::pair<std::uint64_t, MonotonicTime>> m_arrivals;
   bool m_read_expired = false;
   // A request has begun to arrive and is not complete.
--- a/tests/unit/buffer_budget_test.cc
+++ b/tests/unit/buffer_budget_test.cc
@@ -65,5 +65,54 @@
   cr_assert(!none.TryGrow(1));
 }
 
+Test(buffer_budget, guaranteed_bytes_are_those_of_the_reservation) {
+  BufferBudget budget(0);
+  BufferBudget::Reservation without(budget, 0);
+  cr_assert(!without.TryGrow(1));
+  BufferBudget::Reservation large(budget, kStep);
+  BufferBudget::Reservation moved = std::move(large);
+  cr_assert(moved.TryGrow(kStep));
+  cr_assert(!moved.TryGrow(1));
+  without = std::move(moved);
+  cr_assert(!without.TryGrow(1));
+  without.Clear();
+  cr_assert(without.TryGrow(kStep));
+}
+
+Test(buffer_budget, one_message_may_take_nearly_all_in_calm) {
+  constexpr std::size_t kCalmPart = kCapacity / BufferBudget::kCalmDivisor;
+  BufferBudget budget(kCapacity);
+  BufferBudget::Reservation small(budget);
+  cr_assert(small.TryGrow(kCalmPart));
+  BufferBudget::Reservation large(budget);
+  cr_assert(large.TryGrow(kCapacity - 2 * kCalmPart));
+  cr_assert(!large.TryGrow(1));
+}
+
+Test(buffer_budget, a_message_may_take_half_of_the_rest_beside_others) {
+  constexpr std::size_t kOthers = kCapacity / BufferBudget::kCalmDivisor + 1;
+  BufferBudget budget(kCapacity);
+  BufferBudget::Reservation other(budget);
+  cr_assert(other.TryGrow(kOthers));
+  BufferBudget::Reservation large(budget);
+  const std::size_t share = (kCapacity - kOthers) / BufferBudget::kShareDivisor;
+  cr_assert(large.TryGrow(share));
+  cr_assert(!large.TryGrow(1));
+  // What one message has taken in calm it keeps; others get a part of the rest.
+  BufferBudget::Reservation third(budget);
+  cr_assert(!third.TryGrow(share));
+}
+
+Test(buffer_budget, a_message_keeps_what_it_has) {
+  BufferBudget budget(kCapacity);
+  BufferBudget::Reservation large(budget);
+  cr_assert(large.TryGrow(kCapacity / 4 * 3));
+  BufferBudget::Reservation other(budget);
+  cr_assert(other.TryGrow(kCapacity / 8));
+  cr_assert(!large.TryGrow(1));
+  cr_assert(large.TryGrow(0));
+  cr_assert(large.size() == kCapacity / 4 * 3);
+}
+
 }  // namespace
 }  // namespace snipehall
--- a/tests/unit/support/gateway_fixture.h
+++ b/tests/unit/support/gateway_fixture.h
@@ -23,7 +23,9 @@
   struct Options {
     Milliseconds timeout{5000};
     int max_attempts = 3;
+    std::size_t request_buffer_bytes = std::size_t{64} << 20;
     std::size_t response_buffer_bytes = std::size_t{64} << 20;
+    std::size_t max_caller_connections = 10000;
     RequestLimits limits;
     // The service is keyed, and its first target owns all keys.
     bool keyed = false;
@@ -159,7 +161,9 @@
     settings.caller_address = "127.0.0.1:0";
     settings.status_address = "127.0.0.1:0";
     settings.retry_limits.base = 1000;
+    settings.request_buffer_bytes = options.request_buffer_bytes;
     settings.response_buffer_bytes = options.response_buffer_bytes;
+    settings.max_caller_connections = options.max_caller_connections;
     return settings;
   }
 
