Check each line of a request's head once

Cause: each read of an incomplete head checked all of it again, so that a head that comes byte by byte took time with the square of its size. A test of the memory bound also read the memory of an earlier request as that of the next.

Change: a read checks from the last complete line on; the test waits until the earlier request's memory is free.

The time for such heads was not measured.

--- a/src/transport/gateway/gateway_session.cc
+++ b/src/transport/gateway/gateway_session.cc
@@ -61,6 +61,16 @@
   return size * kHeadCopies + CountFields(fields) * kFieldBytes;
 }
 
+// Start of the last complete line of `input`, the incomplete head of a message.
+std::size_t FindLastLine(std::string_view input) {
+  const std::size_t end = input.rfind('\n');
+  if (end == std::string_view::npos || end == 0) {
+    return 0;
+  }
+  const std::size_t before = input.rfind('\n', end - 1);
+  return before == std::string_view::npos ? 0 : before + 1;
+}
+
 // Whether the error comes from the HTTP parser and not from the connection.
 bool IsParserError(const error_code& error) {
   return error.category() ==
@@ -292,6 +302,8 @@
   }
   const RequestLimits bounds = limits();
   const std::size_t max_size = max_head_bytes();
+  // Lines that have been checked are not checked again for each read.
+  std::size_t checked = 0;
   m_read_expired = false;
   while (!ending()) {
     const std::string_view input = m_stream->data();
@@ -300,9 +312,10 @@
       exchange.request.received_at = UnreadSince();
       m_receiving_since = exchange.request.received_at;
     }
-    const std::size_t size = FindHeadEnd(input.substr(0, max_size));
+    const std::size_t size =
+        FindHeadEnd(input.substr(0, max_size).substr(checked));
     if (size > 0) {
-      if (!ParseHead(exchange.request, size)) {
+      if (!ParseHead(exchange.request, checked + size)) {
         co_return Reject(exchange, 400, "malformed head");
       }
       // Only the first request of a connection has memory in any case.
@@ -310,12 +323,13 @@
           m_context.request_buffers,
           m_pipeline.empty() ? BufferBudget::kGuaranteedBytes : 0);
       co_return exchange.request.memory.TryGrow(
-          HeadMemory(size, exchange.request.parser->get())) ||
+          HeadMemory(checked + size, exchange.request.parser->get())) ||
           RejectForMemory(exchange);
     }
-    if (!CheckHeadBytes(input)) {
+    if (!CheckHeadBytes(input.substr(checked))) {
       co_return Reject(exchange, 400, "malformed head");
     }
+    checked += FindLastLine(input.substr(checked));
     if (input.size() >= max_size) {
       co_return Reject(exchange, 431, "head too large");
     }
--- a/tests/unit/gateway_caller_limits_test.cc
+++ b/tests/unit/gateway_caller_limits_test.cc
@@ -1,7 +1,9 @@
 #include <algorithm>
+#include <chrono>
 #include <deque>
 #include <future>
 #include <string>
+#include <thread>
 
 #include "unit/support/data_fixture.h"
 #include "unit/support/gateway_fixture.h"
@@ -46,6 +48,13 @@
   });
 }
 
+bool WaitUntilFree(GatewayFixture& gateway) {
+  return Eventually([&] {
+    return gateway.Run(
+        [&] { return gateway.context().request_buffers.used() == 0; });
+  });
+}
+
 bool WaitForSessions(GatewayFixture& gateway, std::size_t count) {
   return Eventually([&] {
     return gateway.Run(
@@ -63,6 +72,7 @@
   RawSocket first = gateway.Connect();
   cr_assert(first.Send(Post("first", body.size()) + body));
   cr_assert(ReadResponse(first).status == 200);
+  cr_assert(WaitUntilFree(gateway));
 
   RawSocket holder = gateway.Connect();
   cr_assert(holder.Send(Post("holder", body.size()) +
@@ -84,10 +94,7 @@
   cr_assert(ReadResponse(holder).status == 200);
   cr_assert(!HasReached(target, "refused"));
   cr_assert(HasReached(target, "holder") && HasReached(target, "next"));
-  cr_assert(Eventually([&] {
-    return gateway.Run(
-        [&] { return gateway.context().request_buffers.used() == 0; });
-  }));
+  cr_assert(WaitUntilFree(gateway));
 }
 
 // Many short fields need several times their size when parsed, in a head and in
@@ -119,6 +126,30 @@
   }
 }
 
+// Lines that arrive one after the other are checked like a whole head.
+Test(gateway_caller_limits, head_in_pieces_is_checked) {
+  FakeTarget target(AnswerOk);
+  GatewayFixture gateway({target.address()});
+  struct Case {
+    const char* fields;
+    int status;
+  };
+  for (const Case& test_case :
+       {Case{"a: b\r\nc: d\r\n", 200}, Case{"a: b\r\n c\r\n", 400},
+        Case{"a: b\r\nc\rd: e\r\n", 400}, Case{"a: b\r\nc: d\n", 400},
+        Case{"a: b\r\nc\r\n", 400}}) {
+    RawSocket caller = gateway.Connect();
+    for (const char byte :
+         GatewayFixture::Request("GET", "/read/item", "a", test_case.fields)) {
+      caller.Send(std::string(1, byte));
+      std::this_thread::sleep_for(std::chrono::microseconds(100));
+    }
+    const int status = ReadResponse(caller).status;
+    cr_assert(status == test_case.status, "status %d for %s", status,
+              test_case.fields);
+  }
+}
+
 Test(gateway_caller_limits, connection_that_waits_is_evicted) {
   std::promise<void> release;
   const std::shared_future<void> released = release.get_future().share();
