Tests: limits from the machine file, bodies that miss the deadline

Cause: no test held how the limits of callers follow from memory and descriptors, nor the 408 of a body that keeps arriving past the deadline. Change: a case each.

--- a/tests/process/gateway_settings_test.cc
+++ b/tests/process/gateway_settings_test.cc
@@ -10,10 +10,11 @@
 
 constexpr int kSharedBase = 430;
 
-GatewaySettings Settings() {
+GatewaySettings Settings(const std::string& limits = "MemoryMb = 160\n") {
   return ParseSettings(
              "[Local]\nNodeName = \"edge-1\"\nIp = \"10.1.0.1\"\n"
-             "Zone = \"zone-1\"\n[Local.Limits]\nMemoryMb = 160\n"
+             "Zone = \"zone-1\"\n[Local.Limits]\n" +
+             limits +
              "[Network]\nInternalPorts = [7620, 7635]\n[Network.Listen]\n"
              "Front = \"10.1.0.1:80\"\nReady = \"10.1.0.1:81\"\n"
              "[Platform.Platform]\nAddress = \"10.1.0.2:82\"\n"
@@ -73,5 +74,17 @@
   cr_assert(Settings().response_buffer_bytes == std::size_t{20} << 20);
 }
 
+Test(gateway_settings, callers_take_a_part_of_the_memory_and_descriptors) {
+  const GatewaySettings memory = Settings();
+  cr_assert(memory.request_buffer_bytes == std::size_t{100} << 20);
+  cr_assert(memory.max_caller_connections == 1280);
+  const GatewaySettings both = Settings("MemoryMb = 260\nMaxFds = 4100\n");
+  cr_assert(both.request_buffer_bytes == (std::size_t{325} << 20) / 2);
+  cr_assert(both.max_caller_connections == 1950);
+  const GatewaySettings none = Settings("");
+  cr_assert(none.request_buffer_bytes == std::size_t{512} << 20);
+  cr_assert(none.max_caller_connections == 10000);
+}
+
 }  // namespace
 }  // namespace snipehall::platform
--- a/tests/unit/gateway_caller_limits_test.cc
+++ b/tests/unit/gateway_caller_limits_test.cc
@@ -126,6 +126,22 @@
   }
 }
 
+// A body whose end does not arrive by the request's deadline, although pieces
+// of it keep arriving.
+Test(gateway_caller_limits, body_must_arrive_by_the_deadline) {
+  FakeTarget target(AnswerOk);
+  GatewayFixture gateway({target.address()}, {.timeout = Milliseconds(200)});
+  RawSocket caller = gateway.Connect();
+  cr_assert(caller.Send(Post("late", kBufferBytes)));
+  for (bool has_response = false; !has_response;) {
+    cr_assert(caller.Send("a"));
+    has_response = caller.Fill(10);
+  }
+  cr_assert(ReadResponse(caller).status == 408);
+  cr_assert(!HasReached(target, "late"));
+  cr_assert(WaitUntilFree(gateway));
+}
+
 // Lines that arrive one after the other are checked like a whole head.
 Test(gateway_caller_limits, head_in_pieces_is_checked) {
   FakeTarget target(AnswerOk);
