Admission: a target that ramps up has no queue

Cause: the expected wait counted the slow start of a target as missing slots, and this instance's recent failures as requests in its queue. So for 5 s every new owner of keys seemed to have a queue of one and a half service times, and its requests were held and refused.

Change: slow start and failures count in the choice among targets only, not in the expected wait.

--- a/src/coordination/completion_chooser.cc
+++ b/src/coordination/completion_chooser.cc
@@ -26,7 +26,8 @@
     if (!is_eligible(candidate)) {
       continue;
     }
-    const double capacity = candidate.slots / candidate.relative_time;
+    const double capacity =
+        candidate.ramp * candidate.slots / candidate.relative_time;
     total += capacity;
     if (std::uniform_real_distribution<double>(0, total)(random) < capacity) {
       drawn = &candidate;
--- a/src/coordination/completion_chooser.h
+++ b/src/coordination/completion_chooser.h
@@ -13,13 +13,14 @@
   std::size_t index = 0;
   // The target is in the instance's own availability zone.
   bool local = false;
-  // Number of requests that it can run concurrently, without fractions lost to
-  // its slow start.
+  // Number of requests that it can run concurrently.
   double slots = 1;
   // Requests at the target, of all instances, as far as known.
   double outstanding = 0;
   // Service time relative to the mean of the service's targets.
   double relative_time = 1;
+  // Part of its share of the requests that it gets; below 1 while it ramps up.
+  double ramp = 1;
 
   // Requests that wait before a new one, in units of all slots.
   double QueueLength() const;
--- a/src/coordination/target_chooser.cc
+++ b/src/coordination/target_chooser.cc
@@ -86,8 +86,6 @@
           std::max<double>(entry.outstanding, *estimate->outstanding);
     }
   }
-  candidate.slots *= SlowStartFactor(now, entry);
-  candidate.outstanding += FailurePenalty(now, entry);
   return candidate;
 }
 
@@ -108,6 +106,8 @@
     any_reachable = any_reachable || reachable;
     if (reachable || !any_reachable) {
       candidates.push_back(Candidate(now, i));
+      candidates.back().ramp = SlowStartFactor(now, m_entries[i]);
+      candidates.back().outstanding += FailurePenalty(now, m_entries[i]);
     }
   }
   return ChooseByCompletion(candidates, m_random);
--- a/src/coordination/target_chooser.h
+++ b/src/coordination/target_chooser.h
@@ -146,7 +146,7 @@
   bool IsEligible(MonotonicTime now,
                   std::size_t index,
                   std::span<const TargetId> excluded) const;
-  // The target's state as ChooseByCompletion() needs it.
+  // The target's state as far as it is known to all instances.
   CompletionCandidate Candidate(MonotonicTime now, std::size_t index) const;
   std::optional<std::size_t> ChooseByEstimates(
       MonotonicTime now,
