--- a/src/coordination/cold_target_limit.h
+++ b/src/coordination/cold_target_limit.h
@@ -30,7 +30,8 @@
 //
 // The rate is low enough for the bound to hold with two leaders at a time, each
 // of which grants a burst: one that was replaced while it was disconnected may
-// still answer instances near it.
+// still answer instances near it. A bound of less than two requests per second
+// holds with one leader only.
 double ColdPermitRate(double cold_rate, const ColdTargetBounds& bounds);
 
 }  // namespace snipehall
--- a/src/coordination/key_leader.cc
+++ b/src/coordination/key_leader.cc
@@ -283,17 +283,20 @@
   const std::vector<KeyCandidate> all = Candidates(service);
   const double cold_rate = ColdRate(service);
   std::vector<KeyCandidate> result;
+  bool any_warm = false;
   for (const KeyCandidate& item : all) {
+    const bool cold = IsCold(now, m_targets.find(item.id)->second, cold_rate);
+    any_warm = any_warm || !cold;
     const bool owns_keys =
         std::any_of(ranges.begin(), ranges.end(), [&item](const auto& range) {
           return range.owner == item.id &&
                  range.owner_start_time_ms == item.start_time_ms;
         });
-    if (owns_keys || !IsCold(now, m_targets.find(item.id)->second, cold_rate)) {
+    if (owns_keys || !cold) {
       result.push_back(item);
     }
   }
-  return result.empty() ? all : result;
+  return any_warm ? result : all;
 }
 
 const KeyLeader::RangeState* KeyLeader::FindState(
--- a/src/coordination/target_registry.cc
+++ b/src/coordination/target_registry.cc
@@ -94,8 +94,12 @@
   if (missing != m_missing_until.end()) {
     m_missing_until.erase(missing);
   }
-  m_changed =
-      m_changed || known == m_targets.end() || Differs(*entry, known->second);
+  if (known == m_targets.end() || Differs(*entry, known->second)) {
+    m_changed = true;
+  } else {
+    // Many small delays add up, so each is compared with what was published.
+    entry->warmup_until = known->second.warmup_until;
+  }
   m_targets.insert_or_assign(TargetId(id), *std::move(entry));
 }
 
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -201,9 +201,12 @@
         m_context.rate_limits.Retain([this](const TargetId& id) {
           return m_state.targets().contains(id);
         });
-        m_context.pauses.Retain(Now(), [this](const TargetId& id) {
-          return m_state.targets().contains(id);
-        });
+        for (TargetPauses* pauses :
+             {&m_context.pauses, &m_context.cold_pauses}) {
+          pauses->Retain(Now(), [this](const TargetId& id) {
+            return m_state.targets().contains(id);
+          });
+        }
         ScheduleReports();
       }
     });
--- a/src/transport/gateway/gateway_context.h
+++ b/src/transport/gateway/gateway_context.h
@@ -81,6 +81,8 @@
   KeyLoadRecorder key_loads;
   TargetRateLimits rate_limits;
   TargetPauses pauses;
+  // Until when the leader is not asked again for a permit for a cold target.
+  TargetPauses cold_pauses;
   RequestAdmission admission;
   ColdTargetBounds cold_bounds;
   PoisonRequestDetector poison_requests;
--- a/src/transport/gateway/gateway_router.cc
+++ b/src/transport/gateway/gateway_router.cc
@@ -35,6 +35,9 @@
 // Bounds of Retry-After for a target at its rate limit.
 constexpr Milliseconds kMinLimitRetryAfter{50};
 constexpr Milliseconds kMaxLimitRetryAfter{1000};
+// Number of cold targets without a permit after which a request is refused, so
+// that the leader is not asked about all of them for each request.
+constexpr int kMaxColdRefusals = 3;
 
 MonotonicTime Now() {
   return std::chrono::steady_clock::now();
@@ -109,10 +112,13 @@
   }
   if (!permitted) {
     m_context.metrics.IncrementEvent("rate_limited");
-    co_return TryOtherTarget(
-        "target rate limit",
-        std::clamp(m_limit_retry_after, kMinLimitRetryAfter,
-                   kMaxLimitRetryAfter));
+    constexpr std::string_view kCause = "target rate limit";
+    const Milliseconds wait = std::clamp(
+        m_limit_retry_after, kMinLimitRetryAfter, kMaxLimitRetryAfter);
+    if (IsTargetCold() && ++m_cold_refusals >= kMaxColdRefusals) {
+      co_return FinishUnavailable(kCause, wait);
+    }
+    co_return TryOtherTarget(kCause, wait);
   }
   action = co_await RunAttempt();
   co_return action;
@@ -262,13 +268,7 @@
   }
   std::optional<std::size_t> index;
   if (!m_service->cold_targets.empty()) {
-    std::vector<TargetId> excluded = m_tried_targets;
-    for (const auto& [id, cold_until] : m_service->cold_targets) {
-      if (now < cold_until) {
-        excluded.push_back(id);
-      }
-    }
-    index = m_service->chooser.Choose(now, excluded);
+    index = ChooseAmongColdTargets(now);
   }
   if (!index) {
     index = m_service->chooser.Choose(now, m_tried_targets);
@@ -283,6 +283,28 @@
   return !IsMisdirected(m_target, m_fencing_token);
 }
 
+std::optional<std::size_t> GatewayRouter::ChooseAmongColdTargets(
+    MonotonicTime now) {
+  std::vector<TargetId> cold;
+  std::vector<TargetId> without_permits = m_tried_targets;
+  for (const auto& [id, cold_until] : m_service->cold_targets) {
+    if (now < cold_until) {
+      cold.push_back(id);
+    }
+    if (m_context.cold_pauses.Remaining(now, id).count() > 0) {
+      without_permits.push_back(id);
+    }
+  }
+  std::vector<TargetId> cold_or_tried = cold;
+  cold_or_tried.insert(cold_or_tried.end(), m_tried_targets.begin(),
+                       m_tried_targets.end());
+  auto index = m_service->chooser.Choose(now, cold_or_tried);
+  if (!index) {
+    index = m_service->chooser.Choose(now, without_permits);
+  }
+  return index ? index : m_service->chooser.Choose(now, cold);
+}
+
 bool GatewayRouter::ChooseOwner(MonotonicTime /*now*/) {
   const ServiceName& service = m_service->name;
   const KeyAssignment* range =
@@ -385,6 +407,13 @@
   if (!limit) {
     co_return true;
   }
+  const bool cold = IsTargetCold();
+  if (cold) {
+    m_limit_retry_after = m_context.cold_pauses.Remaining(Now(), m_target.id);
+    if (m_limit_retry_after.count() > 0) {
+      co_return false;
+    }
+  }
   // The callback may be called after this coroutine has ended.
   const auto response = std::make_shared<std::optional<LeaderPermitResponse>>();
   if (m_context.request_permit) {
@@ -404,11 +433,19 @@
   }
   if (response->has_value()) {
     m_limit_retry_after = (*response)->retry_after;
+    if (cold && !(*response)->granted) {
+      m_context.cold_pauses.OnPause(
+          Now(), m_target.id,
+          std::min(m_limit_retry_after, kMaxLimitRetryAfter));
+    }
     co_return (*response)->granted;
   }
   m_context.metrics.IncrementEvent("permit_response_lost");
-  if (IsTargetCold()) {
+  if (cold) {
     m_limit_retry_after = kOwnerRetryAfter;
+    if (!m_request.interrupted()) {
+      m_context.cold_pauses.OnPause(Now(), m_target.id, m_limit_retry_after);
+    }
     co_return false;
   }
   const MonotonicTime now = Now();
--- a/src/transport/gateway/gateway_router.h
+++ b/src/transport/gateway/gateway_router.h
@@ -66,6 +66,9 @@
   bool ChooseTarget(MonotonicTime now);
   // The same for a keyed service: the owner of the request's key.
   bool ChooseOwner(MonotonicTime now);
+  // Chooses a target of a service without keys that has cold targets: these
+  // only if no other target is left that was not tried.
+  std::optional<std::size_t> ChooseAmongColdTargets(MonotonicTime now);
   // Whether the request crashes its targets and must not be sent.
   bool IsBlocked() const;
   RequestDigest digest() const;
@@ -178,6 +181,8 @@
   bool m_forwarded = false;
   // Time until a target may be sent the request within its rate limit.
   Milliseconds m_limit_retry_after{0};
+  // How often a cold target did not get the request for want of a permit.
+  int m_cold_refusals = 0;
   // How often the request was sent.
   int m_attempts = 0;
   std::optional<Milliseconds> m_sent_after;
--- a/tests/unit/key_leader_test.cc
+++ b/tests/unit/key_leader_test.cc
@@ -30,8 +30,14 @@
     m_targets.erase(id);
     m_leader.OnTargets(m_now, m_targets);
   }
-  void SetLeaving(const TargetId& id) {
-    m_targets[id].draining = true;
+  void SetLeaving(const TargetId& id, bool leaving = true) {
+    m_targets[id].draining = leaving;
+    m_leader.OnTargets(m_now, m_targets);
+  }
+  // Makes the target cold for `time`.
+  void SetCold(const TargetId& id, Milliseconds time) {
+    m_leader.SetKeyedServices({{kService, 10}});
+    m_targets[id].warmup_until = m_now + time;
     m_leader.OnTargets(m_now, m_targets);
   }
 
@@ -107,6 +113,86 @@
   cr_assert_lt(fixture.Range(0).fencing_token, fixture.Range(1).fencing_token);
 }
 
+// Runs the leader for `time` with targets that obey.
+void RunFor(LeaderFixture& fixture, Milliseconds time) {
+  for (Milliseconds passed{0}; passed < time; passed += Milliseconds(100)) {
+    fixture.Advance(Milliseconds(100));
+    fixture.AppendNextTable();
+    fixture.FinishDueOrders(KeyOrderOutcome::kDone);
+  }
+}
+
+bool OwnsKeys(LeaderFixture& fixture, const TargetId& id) {
+  const auto& ranges = fixture.leader().table().services.at(kService);
+  return std::any_of(ranges.begin(), ranges.end(),
+                     [&id](const auto& range) { return range.owner == id; });
+}
+
+Test(key_leader, cold_target_gets_keys_once_it_is_warm) {
+  LeaderFixture fixture;
+  fixture.BecomeLeaderOfTwoTargets();
+  fixture.SetCold("a", Milliseconds(5000));
+  fixture.AddTarget("c");
+  fixture.SetCold("c", Milliseconds(5000));
+  RunFor(fixture, Milliseconds(4900));
+  cr_assert(OwnsKeys(fixture, "a"), "a cold owner lost its keys");
+  cr_assert(!OwnsKeys(fixture, "c"), "a cold target got keys");
+  RunFor(fixture, Milliseconds(1000));
+  cr_assert(OwnsKeys(fixture, "c"), "a warm target got no keys");
+}
+
+// Guards against keys that stay with the only cold target that has some.
+Test(key_leader, cold_targets_get_keys_if_no_target_is_warm) {
+  LeaderFixture fixture;
+  fixture.BecomeLeaderOfTwoTargets();
+  fixture.SetLeaving("b");
+  RunFor(fixture, Milliseconds(1000));
+  cr_assert(!OwnsKeys(fixture, "b"));
+  fixture.SetLeaving("b", false);
+  fixture.SetCold("a", Milliseconds(5000));
+  fixture.SetCold("b", Milliseconds(5000));
+  RunFor(fixture, Milliseconds(1000));
+  cr_assert(OwnsKeys(fixture, "a"));
+  cr_assert(OwnsKeys(fixture, "b"));
+}
+
+// A zone with "a" and "c" is evacuated while keys move to "c".
+Test(key_leader, evacuated_targets_lose_their_keys_and_come_back_cold) {
+  LeaderFixture fixture;
+  fixture.BecomeLeaderOfTwoTargets();
+  fixture.AddTarget("c");
+  cr_assert(fixture.AppendNextTable());
+  cr_assert(OwnsKeys(fixture, "c"));
+  fixture.SetLeaving("a");
+  fixture.SetLeaving("c");
+  RunFor(fixture, Milliseconds(2000));
+  cr_assert(!OwnsKeys(fixture, "a"));
+  cr_assert(!OwnsKeys(fixture, "c"));
+  for (const TargetId id : {"a", "c"}) {
+    fixture.SetLeaving(id, false);
+    fixture.SetCold(id, Milliseconds(3000));
+  }
+  RunFor(fixture, Milliseconds(2900));
+  cr_assert(!OwnsKeys(fixture, "a"));
+  cr_assert(!OwnsKeys(fixture, "c"));
+  RunFor(fixture, Milliseconds(2000));
+  cr_assert(OwnsKeys(fixture, "a"));
+  cr_assert(OwnsKeys(fixture, "c"));
+}
+
+// Guards against keys without an owner after all zones were evacuated.
+Test(key_leader, keys_stay_if_all_targets_are_evacuated) {
+  LeaderFixture fixture;
+  fixture.BecomeLeaderOfTwoTargets();
+  fixture.SetLeaving("a");
+  fixture.SetLeaving("b");
+  RunFor(fixture, Milliseconds(6000));
+  fixture.SetLeaving("a", false);
+  RunFor(fixture, Milliseconds(2000));
+  cr_assert(OwnsKeys(fixture, "a"));
+  cr_assert(!OwnsKeys(fixture, "b"));
+}
+
 // Lets target "a" be unreachable until `expiry` and checks that its keys are
 // not granted to another target before.
 void RequireNoOtherOwnerBefore(LeaderFixture& fixture, MonotonicTime expiry) {
--- a/tests/unit/target_registry_test.cc
+++ b/tests/unit/target_registry_test.cc
@@ -27,6 +27,27 @@
   registry.OnRead(now, std::move(changes), false);
 }
 
+// Guards against a warm-up that never gets known because each entry extends it
+// by little, and against changes for the delays of entries.
+Test(target_registry, warm_up_that_is_extended_little_by_little_is_published) {
+  TargetRegistry registry;
+  MonotonicTime published;
+  for (std::uint64_t i = 1; i <= 20; ++i) {
+    const MonotonicTime now = kStart + i * Milliseconds(300);
+    ListedTarget entry = MakeEntry(i);
+    entry.warmup_until = now + Milliseconds(3000);
+    ReadChange(registry, now, entry);
+    if (registry.TakeChanged()) {
+      published = registry.targets().at("a").warmup_until;
+    }
+    cr_assert(published >= entry.warmup_until - Milliseconds(500));
+  }
+  ListedTarget late = MakeEntry(21);
+  late.warmup_until = published + Milliseconds(400);
+  ReadChange(registry, kStart + Milliseconds(7000), late);
+  cr_assert(!registry.TakeChanged());
+}
+
 Test(target_registry, removed_entry_removes_its_target) {
   TargetRegistry registry;
   ReadChange(registry, kStart, MakeEntry(1));
