--- a/tests/process/support/gateway_cluster.cc
+++ b/tests/process/support/gateway_cluster.cc
@@ -35,9 +35,9 @@
 "Timeout":"2000ms","MaxAttempts":2}}%ROUTES%]}],
 "Clusters":[
 {"Name":"catalog","HealthPath":"/health","MaxConnections":130,"Protocol":"h1",
-"Tls":false,"Sharded":true,"WarmUp":"3s","Grants":"call"},
+"Tls":false,"ColdPerS":%COLD%,"Sharded":true,"WarmUp":"3s","Grants":"call"},
 {"Name":"booking","HealthPath":"/health","MaxConnections":130,
-"Protocol":"h1","Tls":false}]})";
+"Protocol":"h1","Tls":false,"ColdPerS":%COLD%}]})";
 
 constexpr const char* kRouteTemplate =
     R"(,{"Name":"catalog-%NUMBER%","Kind":"idempotent","TargetLatency":"600ms",
@@ -60,6 +60,8 @@
 [Platform.Platform]
 Address = "%STORE%"
 [Terms.Bounds]
+ColdOverage = 1.5
+ColdSlack = 8.0
 RetryBudgetRatio = 0.2
 RetryBudgetBase = 124
 BudgetWindow = "10s"
@@ -140,6 +142,8 @@
 GatewayCluster::GatewayCluster(const Options& options)
     : m_work_ms(options.work_ms),
       m_initial_refusals(options.initial_refusals),
+      m_cold_ms(options.cold_ms),
+      m_cold_rate(options.cold_rate),
       m_rate_limit(options.rate_limit),
       m_target_links(options.target_links),
       m_memory_mb(options.memory_mb),
@@ -154,6 +158,7 @@
     Target target;
     target.keyed = i < options.keyed_targets;
     target.name = (target.keyed ? "catalog-" : "booking-") + std::to_string(i);
+    target.zone = "zone-" + std::to_string(i % options.target_zones + 1);
     m_targets.push_back(std::move(target));
     StartTarget(m_targets.back());
   }
@@ -226,6 +231,10 @@
       target.name + "." + std::to_string(target.starts),
       "--service",
       target.keyed ? "catalog" : "booking",
+      "--zone",
+      target.zone,
+      "--cold-ms",
+      std::to_string(m_cold_ms),
       "--store",
       m_store_address,
       "--events",
@@ -345,11 +354,13 @@
 }
 
 void GatewayCluster::PublishConfiguration(int version, int timeout_ms) {
-  AppendConfiguration(FillTemplate(kConfigurationTemplate,
-                                   {{"VERSION", std::to_string(version)},
-                                    {"TIMEOUT", std::to_string(timeout_ms)},
-                                    {"BODY", std::to_string(m_max_body_bytes)},
-                                    {"ROUTES", ""}}));
+  AppendOperatorRecord("config",
+                       FillTemplate(kConfigurationTemplate,
+                                    {{"VERSION", std::to_string(version)},
+                                     {"TIMEOUT", std::to_string(timeout_ms)},
+                                     {"BODY", std::to_string(m_max_body_bytes)},
+                                     {"COLD", std::to_string(m_cold_rate)},
+                                     {"ROUTES", ""}}));
 }
 
 void GatewayCluster::PublishLargeConfiguration(int version, int routes) {
@@ -357,17 +368,20 @@
   for (int i = 0; i < routes; ++i) {
     rules += FillTemplate(kRouteTemplate, {{"NUMBER", std::to_string(i)}});
   }
-  AppendConfiguration(FillTemplate(kConfigurationTemplate,
-                                   {{"VERSION", std::to_string(version)},
-                                    {"TIMEOUT", "2000"},
-                                    {"BODY", std::to_string(m_max_body_bytes)},
-                                    {"ROUTES", rules}}));
+  AppendOperatorRecord("config",
+                       FillTemplate(kConfigurationTemplate,
+                                    {{"VERSION", std::to_string(version)},
+                                     {"TIMEOUT", "2000"},
+                                     {"BODY", std::to_string(m_max_body_bytes)},
+                                     {"COLD", std::to_string(m_cold_rate)},
+                                     {"ROUTES", rules}}));
 }
 
-void GatewayCluster::AppendConfiguration(const std::string& document) {
+void GatewayCluster::AppendOperatorRecord(const std::string& key,
+                                          const std::string& value) {
   HttpClient(m_store_address)
       .Post("/-/log-append?Topic=keyed.op&part=0",
-            platform::EncodeRecord({"config", document}));
+            platform::EncodeRecord({key, value}));
 }
 
 void GatewayCluster::AppendTargetRecord(const std::string& record) {
--- a/tests/process/support/gateway_cluster.h
+++ b/tests/process/support/gateway_cluster.h
@@ -24,6 +24,12 @@
     int gateways = 3;
     int keyed_targets = 4;
     int unkeyed_targets = 2;
+    // Number of the targets' availability zones, which are assigned in turn.
+    int target_zones = 1;
+    // Time after their start for which the targets are cold, and the rate that
+    // they bear until then, requests per second; never cold if it is zero.
+    int cold_ms = 0;
+    int cold_rate = 0;
     // Mean time that a target takes for a request, milliseconds.
     int work_ms = 30;
     // Number of requests that each target refuses after its start although it
@@ -109,6 +115,10 @@
   // The same with `routes` more routes, which are to "catalog" too.
   void PublishLargeConfiguration(int version, int routes);
 
+  // Appends a record of the operator, such as "evacuate/zone-1"; an empty
+  // `value` deletes it.
+  void AppendOperatorRecord(const std::string& key, const std::string& value);
+
   // Appends an encoded record to the platform's list of targets.
   void AppendTargetRecord(const std::string& record);
 
@@ -134,6 +144,7 @@
     bool keyed = false;
     int starts = 0;
     std::string name;
+    std::string zone;
     std::string address;
     std::unique_ptr<Process> process;
   };
@@ -142,13 +153,14 @@
   void StartTarget(Target& target);
   // Makes the gateway reach the target at `address` through a relay.
   void LinkTarget(Gateway& gateway, const std::string& address);
-  void AppendConfiguration(const std::string& document);
 
   TemporaryDirectory m_directory;
   std::unique_ptr<Process> m_store;
   std::string m_store_address;
   int m_work_ms = 0;
   int m_initial_refusals = 0;
+  int m_cold_ms = 0;
+  int m_cold_rate = 0;
   std::string m_rate_limit;
   bool m_target_links = false;
   int m_memory_mb = 0;
--- a/tests/standins/keyed_target.cc
+++ b/tests/standins/keyed_target.cc
@@ -57,6 +57,8 @@
   // Rate limit that it names in its responses, requests per second; none if it
   // is empty.
   std::string rate_limit;
+  // Time after the start for which its entry says that it is cold.
+  std::uint64_t cold_ms = 0;
 };
 
 std::int64_t NowMs() {
@@ -115,6 +117,11 @@
             std::chrono::system_clock::now().time_since_epoch())
             .count();
     for (std::uint64_t sequence = 1;; ++sequence) {
+      const std::int64_t cold_left =
+          started_ms + static_cast<std::int64_t>(m_options.cold_ms) -
+          std::chrono::duration_cast<Milliseconds>(
+              std::chrono::system_clock::now().time_since_epoch())
+              .count();
       json::object entry;
       entry["Address"] = address;
       entry["born"] = started_ms;
@@ -123,7 +130,10 @@
                                    {"Zone", m_options.zone},
                                    {"Slots", m_options.slots}};
       entry["Status"] = json::object{
-          {"State", "ready"}, {"Sequence", sequence}, {"ColdLeft", "0ms"}};
+          {"State", "ready"},
+          {"Sequence", sequence},
+          {"ColdLeft",
+           std::to_string(std::max<std::int64_t>(cold_left, 0)) + "ms"}};
       HttpClientRequest append;
       append.verb = http::verb::post;
       append.path = "/-/log-append?Topic=keyed.servers&part=0";
@@ -412,6 +422,7 @@
        {"slots", NumberOption(&options.slots, "requests at a time")},
        {"poison", TextOption(&options.poison, "part of a path to crash on")},
        {"rate-limit", TextOption(&options.rate_limit, "requests per second")},
+       {"cold-ms", NumberOption(&options.cold_ms, "time that it is cold")},
        {"refused", NumberOption(&options.forced_refusals,
                                 "first requests that are refused")},
        {"work-ms", NumberOption(&options.work_ms, "mean time of a request")}});
