Tests: no request to a cold target without a permit, few questions

Five cold targets, 20 requests, a leader that refuses or doesn't answer: nothing is sent, and the leader is asked once per target at most.

--- a/tests/unit/gateway_rate_limit_test.cc
+++ b/tests/unit/gateway_rate_limit_test.cc
@@ -1,4 +1,6 @@
+#include <functional>
 #include <string>
+#include <vector>
 
 #include "unit/support/data_fixture.h"
 #include "unit/support/gateway_fixture.h"
@@ -92,5 +94,63 @@
   }
 }
 
+// Sends 20 requests while the leader answers each request for a permit as
+// `answer` says, and counts these requests in `asked`.
+int CountServed(GatewayFixture& gateway,
+                int& asked,
+                const std::function<void(PermitRequests::OnResponse)>& answer) {
+  gateway.Run([&] {
+    gateway.context().request_permit =
+        [&](std::string_view, double, PermitRequests::OnResponse on_response) {
+          ++asked;
+          answer(std::move(on_response));
+        };
+    return true;
+  });
+  RawSocket caller = gateway.Connect();
+  int served = 0;
+  for (int i = 0; i < 20; ++i) {
+    cr_assert(caller.Send(GatewayFixture::Request(
+        "GET", "/read/item", std::to_string(i), "Snipehall-Key: 1\r\n")));
+    const Response response = ReadResponse(caller);
+    served += response.status == 200 ? 1 : 0;
+    cr_assert(response.status == 200 || !response.Header("Retry-After").empty(),
+              "request %d: status %u", i,
+              static_cast<unsigned>(response.status));
+  }
+  return served;
+}
+
+// Guards against requests that reach a cold target without a permit, and
+// against instances that ask the leader about each target for each request.
+Test(gateway_rate_limit, cold_targets_get_nothing_without_a_permit) {
+  FakeTarget target([](RawSocket& connection, const std::string& head) {
+    return connection.Send(GatewayFixture::OkResponse(IdOf(head), ""));
+  });
+  const std::vector<std::string> addresses(5, target.address());
+  const auto refuse = [](const PermitRequests::OnResponse& on_response) {
+    on_response({0, false, Milliseconds(60000)});
+  };
+  // With and without a response of the leader.
+  for (const bool answers : {true, false}) {
+    for (const bool keyed : {true, false}) {
+      GatewayFixture gateway(addresses, {.keyed = keyed, .cold_targets = 5});
+      int asked = 0;
+      const int served = CountServed(
+          gateway, asked, [&](const PermitRequests::OnResponse& on_response) {
+            if (answers) {
+              refuse(on_response);
+            }
+          });
+      cr_assert(served == 0 && target.heads().empty());
+      cr_assert(asked > 0 && asked <= (keyed ? 1 : 5), "asked %d times", asked);
+    }
+  }
+  GatewayFixture gateway(addresses, {.cold_targets = 4});
+  int asked = 0;
+  cr_assert_eq(CountServed(gateway, asked, refuse), 20);
+  cr_assert_eq(asked, 0, "a cold target was preferred to a warm one");
+}
+
 }  // namespace
 }  // namespace snipehall::test
--- a/tests/unit/support/gateway_fixture.h
+++ b/tests/unit/support/gateway_fixture.h
@@ -27,6 +27,8 @@
     RequestLimits limits;
     // The service is keyed, and its first target owns all keys.
     bool keyed = false;
+    // Number of targets, the first ones, that are cold.
+    std::size_t cold_targets = 0;
   };
 
   explicit GatewayFixture(const std::vector<std::string>& target_addresses)
@@ -61,6 +63,7 @@
     service.name = "work";
     service.connection_limit = 10000;
     service.keyed = options.keyed;
+    service.cold_rate = 10;
     m_state.SetPolicy(
         RoutePolicy::Create(1, options.limits, {read, order}, {service})
             .value());
@@ -72,6 +75,10 @@
       target.zone = "zone";
       target.address = address;
       target.slots = 1000;
+      if (targets.size() < options.cold_targets) {
+        target.warmup_until =
+            std::chrono::steady_clock::now() + std::chrono::minutes(1);
+      }
       targets.emplace(target.id, target);
     }
     m_state.SetTargets(std::move(targets));
