--- a/src/coordination/request_admission.cc
+++ b/src/coordination/request_admission.cc
@@ -26,6 +26,11 @@
 AdmissionDecision RequestAdmission::Decide(MonotonicTime now,
                                            const AdmissionInput& input) {
   using Action = AdmissionDecision::Action;
+  // One draw for each request, however often it asks.
+  const double draw = input.held ? 1 : Draw();
+  if (input.expected_wait.count() <= 0 && draw < kProbeShare) {
+    return {};
+  }
   const MonotonicTime begins_at = now + input.expected_wait;
   if (begins_at + Scale(input.service_time, kMinServiceShare) >
       input.deadline) {
@@ -35,8 +40,7 @@
   }
   AdmissionInput effective = input;
   const bool is_urgent = input.priority <= input.urgent_priority;
-  if (!is_urgent && input.expected_wait.count() > 0 &&
-      Draw() < kGuaranteedShare) {
+  if (!is_urgent && draw < kGuaranteedShare) {
     effective.priority = input.urgent_priority;
   }
   const Milliseconds excess = input.expected_wait - MaxWait(effective);
@@ -45,8 +49,10 @@
   }
   const MonotonicTime hold_until =
       input.received_at + Scale(input.objective, kHoldShare);
-  if (now + std::min(excess, kHoldInterval) <= hold_until) {
-    return {Action::kWait, now + std::min(excess, kHoldInterval), {}};
+  const MonotonicTime retry_at =
+      now + std::clamp(excess, kMinHoldInterval, kHoldInterval);
+  if (retry_at <= hold_until) {
+    return {Action::kWait, retry_at, {}};
   }
   return {Action::kRefuse, {}, RetryAfter(now, input.deadline, excess)};
 }
--- a/src/coordination/request_admission.h
+++ b/src/coordination/request_admission.h
@@ -15,6 +15,9 @@
   // shortest latency objective of those routes.
   int urgent_priority = 0;
   Milliseconds urgent_objective{0};
+  // The request has been held before, so that this is not the first decision
+  // about it.
+  bool held = false;
   // Arrival of the request, and the route's latency objective.
   MonotonicTime received_at;
   Milliseconds objective{0};
@@ -45,7 +48,9 @@
 // target takes requests in order of arrival, so the order has to be made before
 // the send.
 //
-// - What cannot be served by its deadline is refused at once.
+// - What cannot be served by its deadline is refused at once, except for a
+//   small part of what finds a free slot, so that a service time that is no
+//   longer true is corrected.
 // - The most urgent requests of a service may find a queue that uses up half of
 //   their latency objective; less urgent ones only a part of that, so that the
 //   rest of the queue is left to the urgent ones. A request that finds a free
@@ -64,12 +69,16 @@
   static constexpr double kPriorityFactor = 0.5;
   // Part of the less urgent requests that are treated as urgent.
   static constexpr double kGuaranteedShare = 0.1;
+  // Part of the requests that are sent to a free slot although the expected
+  // service time is too long.
+  static constexpr double kProbeShare = 0.02;
   // Part of a request's objective for which it is held at most.
   static constexpr double kHoldShare = 0.125;
   // Part of the expected service time that must be left before the deadline.
   // Most requests take less than the mean.
   static constexpr double kMinServiceShare = 0.5;
-  // Interval at which a request that is held asks again.
+  // Bounds of the interval at which a request that is held asks again.
+  static constexpr Milliseconds kMinHoldInterval{10};
   static constexpr Milliseconds kHoldInterval{40};
   // Bounds of the time after which a caller is told to return.
   static constexpr Milliseconds kMinRetryAfter{100};
--- a/src/coordination/target_chooser.cc
+++ b/src/coordination/target_chooser.cc
@@ -69,8 +69,8 @@
              excluded.end();
 }
 
-CompletionCandidate TargetChooser::Candidate(MonotonicTime now,
-                                             std::size_t index) const {
+CompletionCandidate TargetChooser::Observe(MonotonicTime now,
+                                           std::size_t index) const {
   const Entry& entry = m_entries[index];
   CompletionCandidate candidate{index, entry.local, double(entry.slots),
                                 double(entry.outstanding), 1};
@@ -86,6 +86,13 @@
           std::max(entry.outstanding, *estimate->outstanding);
     }
   }
+  return candidate;
+}
+
+CompletionCandidate TargetChooser::Candidate(MonotonicTime now,
+                                             std::size_t index) const {
+  const Entry& entry = m_entries[index];
+  CompletionCandidate candidate = Observe(now, index);
   candidate.slots *= SlowStartFactor(now, entry);
   candidate.outstanding += FailurePenalty(now, entry);
   return candidate;
@@ -121,8 +128,9 @@
   if (found == m_entries.end()) {
     return {};
   }
+  // A slow start and recent failures do not delay a request at the target.
   const CompletionCandidate candidate =
-      Candidate(now, static_cast<std::size_t>(found - m_entries.begin()));
+      Observe(now, static_cast<std::size_t>(found - m_entries.begin()));
   return {candidate.QueueLength() * candidate.relative_time,
           candidate.relative_time};
 }
--- a/src/coordination/target_chooser.h
+++ b/src/coordination/target_chooser.h
@@ -146,7 +146,9 @@
   bool IsEligible(MonotonicTime now,
                   std::size_t index,
                   std::span<const TargetId> excluded) const;
-  // The target's state as ChooseByCompletion() needs it.
+  // The target's load and speed as far as known.
+  CompletionCandidate Observe(MonotonicTime now, std::size_t index) const;
+  // The same as ChooseByCompletion() needs it, with slow start and failures.
   CompletionCandidate Candidate(MonotonicTime now, std::size_t index) const;
   std::optional<std::size_t> ChooseByEstimates(
       MonotonicTime now,
--- a/src/coordination/target_load_collector.cc
+++ b/src/coordination/target_load_collector.cc
@@ -55,12 +55,14 @@
       entry.loaded_at = loaded_at;
     }
     if (sample.responses > 0) {
+      entry.responded_at = now;
       AddResponses(entry, sample.responses, sample.relative_time_sum);
     }
   }
 }
 
-void TargetLoadCollector::Normalize(const TargetList& targets) {
+void TargetLoadCollector::Normalize(MonotonicTime now,
+                                    const TargetList& targets) {
   std::erase_if(m_targets, [&targets](const auto& item) {
     return !targets.contains(item.first);
   });
@@ -69,7 +71,12 @@
     double targets = 0;
   };
   std::map<std::string_view, Sum> sums;
-  for (const auto& [id, entry] : m_targets) {
+  for (auto& [id, entry] : m_targets) {
+    if (now - entry.responded_at >= kForgetTime) {
+      entry.slow_responses = entry.slow_time = 0;
+      entry.fast_responses = entry.fast_time = 0;
+      entry.known_responses = 0;
+    }
     Sum& sum = sums[targets.find(id)->second.service];
     sum.time += entry.Time();
     sum.targets += 1;
@@ -104,7 +111,7 @@
     MonotonicTime now,
     const TargetList& targets,
     const std::set<ServiceName, std::less<>>& keyed_services) {
-  Normalize(targets);
+  Normalize(now, targets);
   std::vector<TargetLoadSummary> summary;
   auto next = m_targets.lower_bound(m_next);
   for (std::size_t i = 0;
@@ -129,4 +136,21 @@
   return found == m_targets.end() ? 1 : found->second.relative_time;
 }
 
+std::map<ServiceName, std::pair<double, double>>
+TargetLoadCollector::RelativeTimeBounds(const TargetList& targets) const {
+  std::map<ServiceName, std::pair<double, double>> bounds;
+  for (const auto& [id, entry] : m_targets) {
+    const auto target = targets.find(id);
+    if (target == targets.end()) {
+      continue;
+    }
+    const auto [found, added] = bounds.try_emplace(
+        target->second.service, entry.relative_time, entry.relative_time);
+    auto& [least, greatest] = found->second;
+    least = std::min(least, entry.relative_time);
+    greatest = std::max(greatest, entry.relative_time);
+  }
+  return bounds;
+}
+
 }  // namespace snipehall
--- a/src/coordination/target_load_collector.h
+++ b/src/coordination/target_load_collector.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <span>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "coordination/target_load_table.h"
@@ -40,6 +41,9 @@
   static constexpr double kPriorResponses = 6;
   // Age from which on the load of a report is not passed on.
   static constexpr Milliseconds kMaxAge{1500};
+  // Time without responses after which the speed of a target is forgotten: a
+  // target that was found slow gets few requests, and must be tried again.
+  static constexpr Milliseconds kForgetTime{10000};
 
   // Call for each report of an instance, this one included.
   void OnReport(MonotonicTime now, std::span<const TargetLoadSample> samples);
@@ -57,11 +61,16 @@
   // not known.
   double RelativeTime(std::string_view target) const;
 
+  // Least and greatest relative time of the targets of each service.
+  std::map<ServiceName, std::pair<double, double>> RelativeTimeBounds(
+      const TargetList& targets) const;
+
  private:
   struct Entry {
     int outstanding = 0;
     int slots = 0;
     std::optional<MonotonicTime> loaded_at;
+    MonotonicTime responded_at;
     // Sums over the last responses, with decaying weights.
     double slow_responses = 0;
     double slow_time = 0;
@@ -78,7 +87,7 @@
 
   static void AddResponses(Entry& entry, double responses, double time);
   // Recomputes the relative times of all listed targets.
-  void Normalize(const TargetList& targets);
+  void Normalize(MonotonicTime now, const TargetList& targets);
   static TargetLoadSummary Summarize(MonotonicTime now,
                                      const TargetId& id,
                                      const Entry& entry);
--- a/src/coordination/target_load_table.cc
+++ b/src/coordination/target_load_table.cc
@@ -10,17 +10,27 @@
   return found != m_targets.end() ? found->second : m_targets[TargetId(target)];
 }
 
+TargetLoadTable::Entry& TargetLoadTable::FindForReport(
+    std::string_view target) {
+  Entry& entry = FindOrAdd(target);
+  if (!entry.is_pending) {
+    entry.is_pending = true;
+    m_pending.emplace_back(target);
+  }
+  return entry;
+}
+
 void TargetLoadTable::OnReportedLoad(MonotonicTime now,
                                      std::string_view target,
                                      const ReportedLoad& load) {
-  Entry& entry = FindOrAdd(target);
+  Entry& entry = FindForReport(target);
   entry.load = load;
   entry.loaded_at = now;
   entry.is_unreported = true;
 }
 
 void TargetLoadTable::OnFailure(std::string_view target) {
-  Entry& entry = FindOrAdd(target);
+  Entry& entry = FindForReport(target);
   ++entry.responses;
   entry.relative_time_sum += kFailureTime;
 }
@@ -45,7 +55,7 @@
   mean.responses = std::min(mean.responses + 1, kRouteSample);
   mean.seconds += (seconds - mean.seconds) / mean.responses;
   if (mean.seconds > 0) {
-    Entry& entry = FindOrAdd(target);
+    Entry& entry = FindForReport(target);
     ++entry.responses;
     entry.relative_time_sum +=
         std::clamp(seconds / mean.seconds, kMinRelativeTime, kMaxRelativeTime);
@@ -62,18 +72,23 @@
     if (item.slots > 0 && (!entry.loaded_at || *entry.loaded_at < loaded_at)) {
       entry.load = {item.outstanding, item.slots};
       entry.loaded_at = loaded_at;
+      entry.is_unreported = false;
     }
   }
 }
 
 std::vector<TargetLoadSample> TargetLoadTable::TakeReport(MonotonicTime now) {
   std::vector<TargetLoadSample> samples;
-  for (auto& [id, entry] : m_targets) {
-    if (!entry.is_unreported && entry.responses == 0) {
+  while (!m_pending.empty() && samples.size() < kMaxReportTargets) {
+    const auto found = m_targets.find(m_pending.front());
+    m_pending.pop_front();
+    if (found == m_targets.end()) {
       continue;
     }
-    if (samples.size() == kMaxReportTargets) {
-      break;
+    auto& [id, entry] = *found;
+    entry.is_pending = false;
+    if (!entry.is_unreported && entry.responses == 0) {
+      continue;
     }
     TargetLoadSample sample;
     sample.target = id;
--- a/src/coordination/target_load_table.h
+++ b/src/coordination/target_load_table.h
@@ -1,10 +1,13 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "state/reported_load.h"
@@ -121,6 +124,15 @@
     double relative_time_sum = 0;
     double relative_time = 1;
     std::optional<MonotonicTime> summary_at;
+    // The target is in `m_pending`.
+    bool is_pending = false;
+  };
+
+  struct IdHash {
+    using is_transparent = void;
+    std::size_t operator()(std::string_view id) const {
+      return std::hash<std::string_view>()(id);
+    }
   };
 
   // Mean service time of a route, seconds.
@@ -130,8 +142,12 @@
   };
 
   Entry& FindOrAdd(std::string_view target);
+  // Returns the entry after adding it to `m_pending`.
+  Entry& FindForReport(std::string_view target);
 
-  std::map<TargetId, Entry, std::less<>> m_targets;
+  std::unordered_map<TargetId, Entry, IdHash, std::equal_to<>> m_targets;
+  // Targets of the next reports, in the order in which they were observed.
+  std::deque<TargetId> m_pending;
   std::map<std::string, RouteTime, std::less<>> m_routes;
 };
 
--- a/src/protocol/leader_message_codec.cc
+++ b/src/protocol/leader_message_codec.cc
@@ -73,14 +73,14 @@
                             Milliseconds(item.getAgeMs()),
                             item.getResponses(),
                             item.getRelativeTimeSum()};
-    const double most = sample.responses * TargetLoadTable::kMaxRelativeTime;
-    // Also false for a sum that is not a number.
-    const bool in_range =
-        sample.relative_time_sum >= 0 && sample.relative_time_sum <= most;
-    if (!in_range) {
+    if (std::isnan(sample.relative_time_sum)) {
       sample.responses = 0;
       sample.relative_time_sum = 0;
     }
+    sample.relative_time_sum =
+        std::clamp(sample.relative_time_sum,
+                   sample.responses * TargetLoadTable::kMinRelativeTime,
+                   sample.responses * TargetLoadTable::kMaxRelativeTime);
     samples.push_back(std::move(sample));
   }
   return samples;
@@ -157,7 +157,7 @@
   unsigned index = 0;
   for (const auto& [key, fraction] : fractions) {
     keys.set(index, ToField(key));
-    admitted.set(index++, ToField(std::lround(fraction * 1000)));
+    admitted.set(index++, ToField(std::max(1L, std::lround(fraction * 1000))));
   }
 }
 
--- a/src/transport/gateway/gateway_context.h
+++ b/src/transport/gateway/gateway_context.h
@@ -69,7 +69,9 @@
         admission(seed),
         cold_bounds(settings.cold_bounds),
         request_buffers(settings.request_buffer_bytes),
-        response_buffers(settings.response_buffer_bytes) {}
+        response_buffers(settings.response_buffer_bytes) {
+    services.set_may_learn_capacity(settings.learned_capacity);
+  }
 
   Executor executor;
   GatewayHeaderNames names;
--- a/src/transport/gateway/gateway_control.h
+++ b/src/transport/gateway/gateway_control.h
@@ -29,6 +29,7 @@
 #include "coordination/target_load_collector.h"
 #include "coordination/target_registry.h"
 #include "protocol/key_table_codec.h"
+#include "protocol/leader_message_codec.h"
 #include "protocol/request_digest.h"
 #include "transport/event_log.h"
 #include "transport/gateway/gateway_metrics.h"
@@ -205,6 +206,7 @@
       }
       return;
     }
+    ForgetTargetLoads();
     if (!m_has_keys || !HasKeyedService()) {
       return;
     }
@@ -438,7 +440,9 @@
       const std::string relay = m_relay_planner.OnReport(
           now, report->zone, report->relay_address, report->link_mbps);
       m_instances.OnReport(now, message.from);
-      m_target_load_collector.OnReport(now, report->target_loads);
+      if (m_services.learns_capacity()) {
+        m_target_load_collector.OnReport(now, report->target_loads);
+      }
       m_link.Send(
           sender,
           {m_instance,
@@ -446,8 +450,8 @@
                          m_instances.Count(now).value_or(0),
                          ChooseForwarders(now, ToAddress(sender), report->zone,
                                           report->cut_off_services)}});
-      if (m_services.learns_capacity()) {
-        m_link.Send(sender, {m_instance, m_target_loads});
+      if (m_services.learns_capacity() && !m_encoded_target_loads.empty()) {
+        m_link.SendEncoded(sender, m_encoded_target_loads);
       }
       m_reporters.insert_or_assign(sender, now);
       std::vector<FencingToken> completed = m_key_leader.CompletedMoves();
@@ -475,7 +479,8 @@
       }
     } else if (const auto* loads =
                    std::get_if<LeaderTargetLoads>(&message.content)) {
-      if (message.from == m_state.keys().leader) {
+      if (message.from == m_state.keys().leader &&
+          m_services.learns_capacity()) {
         ApplyTargetLoads(now, *loads);
       }
     } else if (const auto* moves_completed =
@@ -582,12 +587,49 @@
   // Adds this instance's own report, as the leader, and makes the summaries for
   // the next responses to reports.
   void UpdateTargetLoads(MonotonicTime now) {
-    m_target_load_collector.OnReport(now, TakeTargetLoads(now));
-    if (m_services.learns_capacity()) {
-      m_target_loads = {m_target_load_collector.NextSummary(
-                            now, m_state.targets(), KeyedServices()),
-                        m_key_leader.PlanKeyAdmissions(now)};
-      ApplyTargetLoads(now, m_target_loads);
+    const std::vector<TargetLoadSample> samples = TakeTargetLoads(now);
+    if (!m_services.learns_capacity()) {
+      ForgetTargetLoads();
+      return;
+    }
+    m_target_load_collector.OnReport(now, samples);
+    m_target_loads = {m_target_load_collector.NextSummary(
+                          now, m_state.targets(), KeyedServices()),
+                      m_key_leader.PlanKeyAdmissions(now)};
+    ApplyTargetLoads(now, m_target_loads);
+    m_encoded_target_loads = EncodeLeaderMessage({m_instance, m_target_loads});
+    m_knows_target_loads = true;
+    UpdateCapacityGauges();
+  }
+
+  // Drops what this instance knew as the leader: it would be out of date if the
+  // instance became the leader again.
+  void ForgetTargetLoads() {
+    if (!std::exchange(m_knows_target_loads, false)) {
+      return;
+    }
+    m_target_loads = {};
+    m_encoded_target_loads.clear();
+    m_target_load_collector = {};
+    UpdateCapacityGauges();
+  }
+
+  // Gauges of the leader; zero on other instances.
+  void UpdateCapacityGauges() {
+    std::size_t busy_keys = 0;
+    for (const auto& [service, fractions] : m_target_loads.key_admissions) {
+      busy_keys += fractions.size();
+    }
+    m_metrics.SetGauge("busy_keys", static_cast<double>(busy_keys));
+    const auto bounds =
+        m_target_load_collector.RelativeTimeBounds(m_state.targets());
+    for (const auto& [service, policy] : m_state.policy()->services()) {
+      const auto found = bounds.find(service);
+      const bool known = found != bounds.end();
+      m_metrics.SetGauge("relative_time_min " + service,
+                         known ? found->second.first : 0);
+      m_metrics.SetGauge("relative_time_max " + service,
+                         known ? found->second.second : 0);
     }
   }
 
@@ -1260,6 +1302,9 @@
   TargetLoadCollector m_target_load_collector;
   // For the responses to reports until the next UpdateTargetLoads().
   LeaderTargetLoads m_target_loads;
+  std::string m_encoded_target_loads;
+  // `m_target_loads` and the collector may have something.
+  bool m_knows_target_loads = false;
   SharedRateLimiter m_rate_limiter;
   PermitRequests m_permit_requests;
   // Addresses of the instances that report to this one as the leader, with the
--- a/src/transport/gateway/gateway_router.cc
+++ b/src/transport/gateway/gateway_router.cc
@@ -1,6 +1,7 @@
 #include "transport/gateway/gateway_router.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "protocol/request_digest.h"
 
@@ -311,8 +312,8 @@
   if (m_keyed) {
     const double fraction = m_context.state.AdmittedFraction(
         now, m_service->name, *m_request.info.key);
-    // A retry of this instance has been admitted.
-    if (fraction < 1 && m_attempts == 0) {
+    // The fraction is of requests, however often each asks.
+    if (fraction < 1 && !std::exchange(m_key_admitted, true)) {
       const AdmissionDecision decision =
           m_context.admission.DecideForKey(now, m_request.deadline, fraction);
       if (decision.action != AdmissionDecision::Action::kSend) {
@@ -333,6 +334,7 @@
                        : route.priority;
   input.urgent_priority = m_service->urgent_priority;
   input.urgent_objective = m_service->urgent_objective;
+  input.held = m_held;
   input.received_at = m_request.received_at;
   input.objective = route.latency_objective;
   input.deadline = m_request.deadline;
@@ -350,11 +352,18 @@
   if (decision.action == Decision::kSend) {
     co_return std::nullopt;
   }
+  const std::string rank = "_p" + std::to_string(m_request.route->priority);
   if (decision.action == Decision::kRefuse) {
-    m_context.metrics.IncrementEvent("admission_refused");
+    // It could not be refused as not run any more, and its retry is paid for.
+    if (m_may_have_run) {
+      co_return std::nullopt;
+    }
+    m_context.metrics.IncrementEvent("admission_refused" + rank);
     co_return FinishUnavailable("too little room", decision.retry_after);
   }
-  m_context.metrics.IncrementEvent("admission_held");
+  if (!std::exchange(m_held, true)) {
+    m_context.metrics.IncrementEvent("admission_held" + rank);
+  }
   m_request.SetStepDeadline(decision.retry_at);
   while (!m_request.wait_cancelled()) {
     co_await m_request.event.Wait();
--- a/src/transport/gateway/gateway_router.h
+++ b/src/transport/gateway/gateway_router.h
@@ -187,6 +187,10 @@
   std::optional<MonotonicTime> m_wait_deadline;
   // An earlier attempt may have been executed.
   bool m_may_have_run = false;
+  // The request has been held before it was sent; see Admit().
+  bool m_held = false;
+  // It was among those for a busy key that may be sent.
+  bool m_key_admitted = false;
   GatewayOutcome m_outcome;
 };
 
--- a/src/transport/gateway/gateway_settings.h
+++ b/src/transport/gateway/gateway_settings.h
@@ -37,6 +37,9 @@
   std::size_t max_caller_connections = 10000;
   // Memory for responses of targets that are being received or sent on, bytes.
   std::size_t response_buffer_bytes = std::size_t{64} << 20;
+  // Targets may be chosen by their learned capacity, and requests admitted by
+  // their priority; see GatewayServices::learns_capacity().
+  bool learned_capacity = true;
   // Time from the signal to stop within which the process must end.
   Milliseconds shutdown_timeout{6000};
 };
--- a/src/transport/gateway/leader_link.cc
+++ b/src/transport/gateway/leader_link.cc
@@ -81,10 +81,15 @@
 }
 
 void LeaderLink::Send(const Endpoint& receiver, const LeaderMessage& message) {
+  if (m_socket.is_open()) {
+    SendEncoded(receiver, EncodeLeaderMessage(message));
+  }
+}
+
+void LeaderLink::SendEncoded(const Endpoint& receiver, std::string_view bytes) {
   if (!m_socket.is_open()) {
     return;
   }
-  const std::string bytes = EncodeLeaderMessage(message);
   error_code ignored;
   m_socket.send_to(boost::asio::buffer(bytes), receiver, 0, ignored);
 }
--- a/src/transport/gateway/leader_link.h
+++ b/src/transport/gateway/leader_link.h
@@ -34,6 +34,8 @@
   // malformed or the socket buffer is full.
   void Send(std::string_view address, const LeaderMessage& message);
   void Send(const Endpoint& receiver, const LeaderMessage& message);
+  // The same with the bytes of EncodeLeaderMessage(), for a message to many.
+  void SendEncoded(const Endpoint& receiver, std::string_view bytes);
   void Close();
 
  private:
--- a/tests/unit/request_admission_test.cc
+++ b/tests/unit/request_admission_test.cc
@@ -79,6 +79,7 @@
       const AdmissionDecision decision =
           admits ? admission.Decide(now, input) : AdmissionDecision();
       if (decision.action == Action::kWait) {
+        input.held = true;
         held.push_back({input, decision.retry_at});
       } else if (decision.action == Action::kSend) {
         ends.front() = std::max(ends.front(), now) + kService;
@@ -129,6 +130,40 @@
   cr_assert(decision.retry_after.count() == 0, "the caller has no time left");
 }
 
+Test(request_admission, a_service_time_that_is_too_long_is_probed) {
+  RequestAdmission admission(1);
+  AdmissionInput input = Input(0, milliseconds(800));
+  input.service_time = milliseconds(60000);
+  int sent = 0;
+  for (int i = 0; i < 1000; ++i) {
+    sent += admission.Decide(kStart, input).action == Action::kSend ? 1 : 0;
+  }
+  cr_assert(sent > 5 && sent < 50, "%d of 1000 are sent", sent);
+  input.expected_wait = milliseconds(1);
+  for (int i = 0; i < 1000; ++i) {
+    cr_assert(admission.Decide(kStart, input).action == Action::kRefuse);
+  }
+}
+
+Test(request_admission, a_request_does_not_become_urgent_by_asking_again) {
+  RequestAdmission admission(1);
+  int sent = 0;
+  for (int i = 0; i < 1000; ++i) {
+    AdmissionInput input = Input(2, milliseconds(5000));
+    input.expected_wait =
+        RequestAdmission::MaxWait(Input(0, milliseconds(800)));
+    MonotonicTime now = kStart;
+    AdmissionDecision decision = admission.Decide(now, input);
+    while (decision.action == Action::kWait) {
+      now = decision.retry_at;
+      input.held = true;
+      decision = admission.Decide(now, input);
+    }
+    sent += decision.action == Action::kSend ? 1 : 0;
+  }
+  cr_assert(sent > 50 && sent < 150, "%d of 1000 are sent", sent);
+}
+
 Test(request_admission, refused_callers_return_at_different_times_in_time) {
   RequestAdmission admission(1);
   AdmissionInput input = Input(1, milliseconds(1200));
--- a/tests/unit/target_load_test.cc
+++ b/tests/unit/target_load_test.cc
@@ -1,9 +1,12 @@
+#include <limits>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "coordination/target_load_collector.h"
 #include "coordination/target_load_table.h"
 #include "protocol/leader_message_codec.h"
+#include "transport/gateway/routing_state.h"
 
 #include <criterion/criterion.h>
 
@@ -91,6 +94,119 @@
   cr_assert(!instances.front().Find(now, "t0"));
 }
 
+Test(target_load, all_targets_are_reported_in_turn) {
+  constexpr int kTargets = 100;
+  const TargetList targets = Targets(kTargets);
+  TargetLoadTable instance;
+  std::set<TargetId> reported;
+  MonotonicTime now = kStart;
+  for (int round = 0; round < 4; ++round) {
+    for (const auto& [id, target] : targets) {
+      instance.OnResponse(now, id, "route", kService, ReportedLoad{1, 3});
+    }
+    const auto samples = instance.TakeReport(now);
+    cr_assert(samples.size() <= TargetLoadTable::kMaxReportTargets);
+    for (const TargetLoadSample& sample : samples) {
+      reported.insert(sample.target);
+    }
+    now += milliseconds(400);
+  }
+  cr_assert(reported.size() == kTargets, "%zu targets", reported.size());
+}
+
+Test(target_load, loads_of_a_summary_are_not_reported_back) {
+  TargetLoadTable instance;
+  instance.OnReportedLoad(kStart, "t0", {3, 3});
+  instance.OnSummary(kStart + milliseconds(400),
+                     {{"t0", 1, 3, milliseconds(100), 1}});
+  cr_assert(instance.TakeReport(kStart + milliseconds(400)).empty());
+}
+
+Test(target_load, a_target_that_gets_no_requests_is_tried_again) {
+  const TargetList targets = Targets(4);
+  TargetLoadCollector collector;
+  std::vector<TargetLoadTable> instances(1);
+  MonotonicTime now = kStart;
+  cr_assert(Learn(collector, instances, targets, now, 10, 8) > 2);
+  const TargetList others(std::next(targets.begin()), targets.end());
+  for (int round = 0; round < 25; ++round) {
+    now += milliseconds(400);
+    for (const auto& [id, target] : others) {
+      instances.front().OnResponse(now, id, "route", kService,
+                                   ReportedLoad{1, 3});
+    }
+    collector.OnReport(now, instances.front().TakeReport(now));
+    collector.NextSummary(now, targets, {});
+  }
+  const double relative_time = collector.RelativeTime("t0");
+  cr_assert(relative_time < 1.5, "%f", relative_time);
+}
+
+// Load: the leader falls silent while a target is full and a key is busy.
+Test(target_load, an_instance_that_hears_nothing_sends_as_before) {
+  TargetLoadTable table;
+  RoutingState state;
+  table.OnSummary(kStart, {{"t0", 9, 3, milliseconds(0), 4}});
+  state.SetKeyAdmissions(kStart, {{"service", {{7, 0.25}}}});
+  MonotonicTime now = kStart + milliseconds(1000);
+  cr_assert(table.Find(now, "t0")->outstanding == 9);
+  cr_assert(state.AdmittedFraction(now, "service", 7) == 0.25);
+  cr_assert(state.AdmittedFraction(now, "service", 8) == 1);
+  now = kStart + milliseconds(1201);
+  cr_assert(state.AdmittedFraction(now, "service", 7) == 1);
+  now = kStart + TargetLoadTable::kReportLifetime;
+  cr_assert(!table.Find(now, "t0")->outstanding);
+  now = kStart + TargetLoadTable::kSummaryLifetime;
+  cr_assert(table.Find(now, "t0")->relative_time == 1);
+  // A reply of a leader lifts what an earlier one has said.
+  state.SetKeyAdmissions(now, {{"service", {{7, 0.25}}}});
+  state.SetKeyAdmissions(now, {});
+  cr_assert(state.AdmittedFraction(now, "service", 7) == 1);
+}
+
+// An old leader receives no more than this.
+Test(target_load, the_largest_report_fits_an_earlier_build) {
+  constexpr std::size_t kMaxEarlierBytes = 4096;
+  LeaderReport report;
+  report.zone = "zone-of-usual-length";
+  report.relay_address = "192.168.100.100:10000";
+  report.load.service = "service-of-usual-length";
+  for (int i = 0; i < 256; ++i) {
+    report.load.keys.push_back(static_cast<KeyNumber>(i * 251 + 257));
+  }
+  for (int i = 0; i < 24; ++i) {
+    report.load.targets.push_back(
+        {"i-0123456789-" + std::to_string(i), 100000, milliseconds(123456789)});
+  }
+  for (std::size_t i = 0; i < TargetLoadTable::kMaxReportTargets; ++i) {
+    report.target_loads.push_back({"i-0123456789-" + std::to_string(i), 300,
+                                   300, milliseconds(399), 1000, 1234.567});
+  }
+  const std::size_t size =
+      EncodeLeaderMessage({"instance-name-1", report}).size();
+  cr_assert(size <= kMaxEarlierBytes, "%zu bytes", size);
+}
+
+Test(target_load, malformed_samples_do_no_harm) {
+  LeaderReport report;
+  report.target_loads = {{"t0", 5, 3, milliseconds(0), 9, 0},
+                         {"t1", 5, 3, milliseconds(0), 9,
+                          std::numeric_limits<double>::quiet_NaN()},
+                         {"t2", 5, 3, milliseconds(0), 9, -1e30}};
+  const auto read =
+      DecodeLeaderMessage(EncodeLeaderMessage({"instance", report}));
+  cr_assert(read);
+  const TargetList targets = Targets(3);
+  TargetLoadCollector collector;
+  collector.OnReport(kStart,
+                     std::get<LeaderReport>(read.value().content).target_loads);
+  collector.NextSummary(kStart, targets, {});
+  for (const auto& [id, target] : targets) {
+    const double relative_time = collector.RelativeTime(id);
+    cr_assert(relative_time > 0.01 && relative_time < 10, "%f", relative_time);
+  }
+}
+
 Test(target_load, of_keyed_services_only_full_targets_are_told) {
   const TargetList targets = Targets(3);
   TargetLoadCollector collector;
