--- a/src/coordination/target_chooser.cc
+++ b/src/coordination/target_chooser.cc
@@ -78,13 +78,16 @@
                             ? std::nullopt
                             : m_load_table->Find(now, entry.id);
   if (estimate) {
-    candidate.relative_time = estimate->relative_time;
     if (estimate->outstanding) {
       // The report includes this instance's own requests.
       candidate.slots = estimate->slots;
       candidate.outstanding =
           std::max(entry.outstanding, *estimate->outstanding);
     }
+    candidate.relative_time =
+        IsLightlyLoaded(candidate.outstanding, candidate.slots)
+            ? estimate->light_time
+            : estimate->busy_time;
   }
   return candidate;
 }
--- a/src/coordination/target_load_collector.cc
+++ b/src/coordination/target_load_collector.cc
@@ -21,14 +21,30 @@
   return (slow_time + assumed) / (slow_responses + assumed);
 }
 
+double TargetLoadCollector::Entry::PartTime(double responses,
+                                            double time) const {
+  const double assumed = std::max(0.0, kPriorResponses - responses);
+  return (time + assumed * Time()) / (responses + assumed);
+}
+
 void TargetLoadCollector::AddResponses(Entry& entry,
-                                       double responses,
-                                       double time) {
+                                       const TargetLoadSample& sample) {
+  const double responses = sample.responses;
+  const double time = sample.relative_time_sum;
   entry.known_responses =
       std::min(entry.known_responses + responses, kPriorResponses);
   const double slow_decay = Decay(kSlowSample, responses);
   entry.slow_responses = entry.slow_responses * slow_decay + responses;
   entry.slow_time = entry.slow_time * slow_decay + time;
+  const double light_responses = responses - sample.busy_responses;
+  const double light_decay = Decay(kSlowSample, light_responses);
+  entry.light_responses = entry.light_responses * light_decay + light_responses;
+  entry.light_time =
+      entry.light_time * light_decay + time - sample.busy_time_sum;
+  const double busy_decay = Decay(kSlowSample, sample.busy_responses);
+  entry.busy_responses =
+      entry.busy_responses * busy_decay + sample.busy_responses;
+  entry.busy_time = entry.busy_time * busy_decay + sample.busy_time_sum;
   const double fast_decay = Decay(kFastSample, responses);
   entry.fast_responses = entry.fast_responses * fast_decay + responses;
   entry.fast_time = entry.fast_time * fast_decay + time;
@@ -56,7 +72,7 @@
     }
     if (sample.responses > 0) {
       entry.responded_at = now;
-      AddResponses(entry, sample.responses, sample.relative_time_sum);
+      AddResponses(entry, sample);
     }
   }
 }
@@ -75,15 +91,31 @@
     if (now - entry.responded_at >= kForgetTime) {
       entry.slow_responses = entry.slow_time = 0;
       entry.fast_responses = entry.fast_time = 0;
+      entry.light_responses = entry.light_time = 0;
+      entry.busy_responses = entry.busy_time = 0;
       entry.known_responses = 0;
     }
+    if (entry.known_responses <= 0) {
+      continue;
+    }
     Sum& sum = sums[targets.find(id)->second.service];
     sum.time += entry.Time();
     sum.targets += 1;
   }
   for (auto& [id, entry] : m_targets) {
     const Sum& sum = sums[targets.find(id)->second.service];
-    entry.relative_time = entry.Time() * sum.targets / sum.time;
+    if (entry.known_responses <= 0) {
+      entry.relative_time = 1;
+      entry.relative_light_time = 1;
+      entry.relative_busy_time = 1;
+      continue;
+    }
+    const double scale = sum.targets / sum.time;
+    entry.relative_time = entry.Time() * scale;
+    entry.relative_light_time =
+        entry.PartTime(entry.light_responses, entry.light_time) * scale;
+    entry.relative_busy_time =
+        entry.PartTime(entry.busy_responses, entry.busy_time) * scale;
   }
 }
 
@@ -93,6 +125,8 @@
   TargetLoadSummary summary;
   summary.target = id;
   summary.relative_time = entry.relative_time;
+  summary.light_time = entry.relative_light_time;
+  summary.busy_time = entry.relative_busy_time;
   if (entry.loaded_at && now - *entry.loaded_at < kMaxAge) {
     summary.outstanding = entry.outstanding;
     summary.slots = entry.slots;
--- a/src/coordination/target_load_collector.h
+++ b/src/coordination/target_load_collector.h
@@ -76,16 +76,25 @@
     double slow_time = 0;
     double fast_responses = 0;
     double fast_time = 0;
+    // As the slow sums, apart by IsLightlyLoaded().
+    double light_responses = 0;
+    double light_time = 0;
+    double busy_responses = 0;
+    double busy_time = 0;
     // All responses, up to kPriorResponses.
     double known_responses = 0;
     // Relative to the mean of the service, as of the last Normalize().
     double relative_time = 1;
+    double relative_light_time = 1;
+    double relative_busy_time = 1;
 
     // Service time relative to the routes' means at the instances.
     double Time() const;
+    // The same for a part of the responses; missing ones count as Time().
+    double PartTime(double responses, double time) const;
   };
 
-  static void AddResponses(Entry& entry, double responses, double time);
+  static void AddResponses(Entry& entry, const TargetLoadSample& sample);
   // Recomputes the relative times of all listed targets.
   void Normalize(MonotonicTime now, const TargetList& targets);
   static TargetLoadSummary Summarize(MonotonicTime now,
--- a/src/coordination/target_load_table.cc
+++ b/src/coordination/target_load_table.cc
@@ -57,8 +57,13 @@
   if (mean.seconds > 0) {
     Entry& entry = FindForReport(target);
     ++entry.responses;
-    entry.relative_time_sum +=
+    const double relative_time =
         std::clamp(seconds / mean.seconds, kMinRelativeTime, kMaxRelativeTime);
+    entry.relative_time_sum += relative_time;
+    if (!IsLightlyLoaded(load->outstanding, load->slots)) {
+      ++entry.busy_responses;
+      entry.busy_time_sum += relative_time;
+    }
   }
 }
 
@@ -67,6 +72,8 @@
   for (const TargetLoadSummary& item : summary) {
     Entry& entry = FindOrAdd(item.target);
     entry.relative_time = item.relative_time;
+    entry.light_time = item.light_time;
+    entry.busy_time = item.busy_time;
     entry.summary_at = now;
     const MonotonicTime loaded_at = now - item.age;
     if (item.slots > 0 && (!entry.loaded_at || *entry.loaded_at < loaded_at)) {
@@ -100,6 +107,8 @@
     }
     sample.responses = std::exchange(entry.responses, 0);
     sample.relative_time_sum = std::exchange(entry.relative_time_sum, 0);
+    sample.busy_responses = std::exchange(entry.busy_responses, 0);
+    sample.busy_time_sum = std::exchange(entry.busy_time_sum, 0);
     entry.is_unreported = false;
     samples.push_back(std::move(sample));
   }
@@ -121,6 +130,8 @@
   }
   if (entry.summary_at && now - *entry.summary_at < kSummaryLifetime) {
     estimate.relative_time = entry.relative_time;
+    estimate.light_time = entry.light_time;
+    estimate.busy_time = entry.busy_time;
   }
   return estimate;
 }
--- a/src/coordination/target_load_table.h
+++ b/src/coordination/target_load_table.h
@@ -27,6 +27,9 @@
   // relative to the mean service time of its route at this instance.
   std::uint32_t responses = 0;
   double relative_time_sum = 0;
+  // Those of them at more than half of the slots; see IsLightlyLoaded().
+  std::uint32_t busy_responses = 0;
+  double busy_time_sum = 0;
 
   bool operator==(const TargetLoadSample&) const = default;
 };
@@ -41,6 +44,9 @@
   // Service time relative to the mean of the service's targets; 2 is half as
   // fast.
   double relative_time = 1;
+  // The same while at most half of the slots are busy, and while more are.
+  double light_time = 1;
+  double busy_time = 1;
 
   bool operator==(const TargetLoadSummary&) const = default;
 };
@@ -53,8 +59,16 @@
   int slots = 1;
   // See TargetLoadSummary.
   double relative_time = 1;
+  double light_time = 1;
+  double busy_time = 1;
 };
 
+// Whether at most half of the slots are busy. Some targets slow down above
+// that, long before they are full.
+inline bool IsLightlyLoaded(double outstanding, double slots) {
+  return outstanding * 2 <= slots;
+}
+
 // Estimates the load and the speed of targets, from the responses that this
 // instance gets and from the summaries of the leader. It answers uneven
 // servers: those of one service work at different speeds, some slow down for a
@@ -122,7 +136,11 @@
     bool is_unreported = false;
     std::uint32_t responses = 0;
     double relative_time_sum = 0;
+    std::uint32_t busy_responses = 0;
+    double busy_time_sum = 0;
     double relative_time = 1;
+    double light_time = 1;
+    double busy_time = 1;
     std::optional<MonotonicTime> summary_at;
     // The target is in `m_pending`.
     bool is_pending = false;
--- a/src/protocol/lead_message.capnp
+++ b/src/protocol/lead_message.capnp
@@ -70,6 +70,9 @@
   # the mean of its route.
   responses @4 :UInt16;
   relativeTimeSum @5 :Float32;
+  # Those of them at more than half of the slots.
+  busyResponses @6 :UInt16;
+  busyTimeSum @7 :Float32;
 }
 
 struct TargetLoadSummary {
@@ -80,6 +83,10 @@
   ageMs @3 :UInt16;
   # Service time relative to the mean of the service's targets, in percent.
   relativeTimePercent @4 :UInt16 = 100;
+  # The same while at most half of the slots are busy, and while more are; zero if
+  # the sender does not tell them apart.
+  lightTimePercent @5 :UInt16;
+  busyTimePercent @6 :UInt16;
 }
 
 struct KeyAdmissions {
--- a/src/protocol/lead_message.capnp.h
+++ b/src/protocol/lead_message.capnp.h
@@ -91,7 +91,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(90ab0958fab3dd06, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(90ab0958fab3dd06, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -106,7 +106,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e6b06e6ff1ed8f68, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(e6b06e6ff1ed8f68, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -670,6 +670,10 @@
 
   inline float getRelativeTimeSum() const;
 
+  inline  ::uint16_t getBusyResponses() const;
+
+  inline float getBusyTimeSum() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -720,6 +724,12 @@
   inline float getRelativeTimeSum();
   inline void setRelativeTimeSum(float value);
 
+  inline  ::uint16_t getBusyResponses();
+  inline void setBusyResponses( ::uint16_t value);
+
+  inline float getBusyTimeSum();
+  inline void setBusyTimeSum(float value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -774,6 +784,10 @@
 
   inline  ::uint16_t getRelativeTimePercent() const;
 
+  inline  ::uint16_t getLightTimePercent() const;
+
+  inline  ::uint16_t getBusyTimePercent() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -821,6 +835,12 @@
   inline  ::uint16_t getRelativeTimePercent();
   inline void setRelativeTimePercent( ::uint16_t value);
 
+  inline  ::uint16_t getLightTimePercent();
+  inline void setLightTimePercent( ::uint16_t value);
+
+  inline  ::uint16_t getBusyTimePercent();
+  inline void setBusyTimePercent( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2848,6 +2868,34 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint16_t TargetLoadSample::Reader::getBusyResponses() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t TargetLoadSample::Builder::getBusyResponses() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void TargetLoadSample::Builder::setBusyResponses( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline float TargetLoadSample::Reader::getBusyTimeSum() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline float TargetLoadSample::Builder::getBusyTimeSum() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void TargetLoadSample::Builder::setBusyTimeSum(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool TargetLoadSummary::Reader::hasTarget() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2938,6 +2986,34 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value, 100u);
 }
 
+inline  ::uint16_t TargetLoadSummary::Reader::getLightTimePercent() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t TargetLoadSummary::Builder::getLightTimePercent() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void TargetLoadSummary::Builder::setLightTimePercent( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t TargetLoadSummary::Reader::getBusyTimePercent() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t TargetLoadSummary::Builder::getBusyTimePercent() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void TargetLoadSummary::Builder::setBusyTimePercent( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool KeyAdmissions::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/protocol/leader_message_codec.cc
+++ b/src/protocol/leader_message_codec.cc
@@ -63,24 +63,38 @@
       value, 0, std::numeric_limits<std::uint16_t>::max()));
 }
 
+// Reads the sum of the relative times of `responses`.
+double ReadTimeSum(double sum, double responses) {
+  return std::isnan(sum)
+             ? responses
+             : std::clamp(sum, responses * TargetLoadTable::kMinRelativeTime,
+                          responses * TargetLoadTable::kMaxRelativeTime);
+}
+
+// Reads a relative time; `overall` if the sender does not tell it.
+double ReadTime(std::uint16_t percent, double overall) {
+  return percent == 0
+             ? overall
+             : std::clamp(percent / 100.0, TargetLoadTable::kMinRelativeTime,
+                          TargetLoadTable::kMaxRelativeTime);
+}
+
 std::vector<TargetLoadSample> ReadTargetLoads(
     capnp::List<wire::TargetLoadSample>::Reader reader) {
   std::vector<TargetLoadSample> samples;
   for (const auto item : reader) {
-    TargetLoadSample sample{FromText(item.getTarget()),
-                            item.getOutstanding(),
-                            item.getSlots(),
-                            Milliseconds(item.getAgeMs()),
-                            item.getResponses(),
-                            item.getRelativeTimeSum()};
-    if (std::isnan(sample.relative_time_sum)) {
-      sample.responses = 0;
-      sample.relative_time_sum = 0;
-    }
-    sample.relative_time_sum =
-        std::clamp(sample.relative_time_sum,
-                   sample.responses * TargetLoadTable::kMinRelativeTime,
-                   sample.responses * TargetLoadTable::kMaxRelativeTime);
+    TargetLoadSample sample{
+        FromText(item.getTarget()),
+        item.getOutstanding(),
+        item.getSlots(),
+        Milliseconds(item.getAgeMs()),
+        item.getResponses(),
+        ReadTimeSum(item.getRelativeTimeSum(), item.getResponses())};
+    sample.busy_responses =
+        std::min<std::uint32_t>(item.getBusyResponses(), sample.responses);
+    sample.busy_time_sum =
+        std::min(ReadTimeSum(item.getBusyTimeSum(), sample.busy_responses),
+                 sample.relative_time_sum);
     samples.push_back(std::move(sample));
   }
   return samples;
@@ -90,11 +104,11 @@
     capnp::List<wire::TargetLoadSummary>::Reader reader) {
   std::vector<TargetLoadSummary> summary;
   for (const auto item : reader) {
+    const double overall = ReadTime(item.getRelativeTimePercent(), 1);
     summary.push_back({FromText(item.getTarget()), item.getOutstanding(),
-                       item.getSlots(), Milliseconds(item.getAgeMs()),
-                       std::clamp(item.getRelativeTimePercent() / 100.0,
-                                  TargetLoadTable::kMinRelativeTime,
-                                  TargetLoadTable::kMaxRelativeTime)});
+                       item.getSlots(), Milliseconds(item.getAgeMs()), overall,
+                       ReadTime(item.getLightTimePercent(), overall),
+                       ReadTime(item.getBusyTimePercent(), overall)});
   }
   return summary;
 }
@@ -138,6 +152,10 @@
   return loads;
 }
 
+std::uint16_t ToPercent(double relative_time) {
+  return ToField(std::lround(relative_time * 100));
+}
+
 // Writes what samples and summaries have in common.
 template <typename Load, typename Builder>
 void WriteReportedLoad(const Load& load, Builder builder) {
@@ -185,6 +203,8 @@
       WriteReportedLoad(sample, loads[i]);
       loads[i].setResponses(ToField(sample.responses));
       loads[i].setRelativeTimeSum(static_cast<float>(sample.relative_time_sum));
+      loads[i].setBusyResponses(ToField(sample.busy_responses));
+      loads[i].setBusyTimeSum(static_cast<float>(sample.busy_time_sum));
     }
   }
   void operator()(const LeaderServing& serving) {
@@ -211,8 +231,9 @@
     for (unsigned i = 0; i < loads.size(); ++i) {
       const TargetLoadSummary& summary = content.targets[i];
       WriteReportedLoad(summary, loads[i]);
-      loads[i].setRelativeTimePercent(
-          ToField(std::lround(summary.relative_time * 100)));
+      loads[i].setRelativeTimePercent(ToPercent(summary.relative_time));
+      loads[i].setLightTimePercent(ToPercent(summary.light_time));
+      loads[i].setBusyTimePercent(ToPercent(summary.busy_time));
     }
     auto services = builder.initKeyAdmissions(
         static_cast<unsigned>(content.key_admissions.size()));
--- a/tests/unit/target_load_test.cc
+++ b/tests/unit/target_load_test.cc
@@ -3,6 +3,7 @@
 #include <string>
 #include <vector>
 
+#include "coordination/target_chooser.h"
 #include "coordination/target_load_collector.h"
 #include "coordination/target_load_table.h"
 #include "protocol/leader_message_codec.h"
@@ -180,7 +181,8 @@
   }
   for (std::size_t i = 0; i < TargetLoadTable::kMaxReportTargets; ++i) {
     report.target_loads.push_back({"i-0123456789-" + std::to_string(i), 300,
-                                   300, milliseconds(399), 1000, 1234.567});
+                                   300, milliseconds(399), 1000, 1234.567, 700,
+                                   987.654});
   }
   const std::size_t size =
       EncodeLeaderMessage({"instance-name-1", report}).size();
@@ -207,6 +209,67 @@
   }
 }
 
+// Load: a target takes three times as long while more than half of its slots
+// are busy, and as long as the others below that.
+Test(target_load, a_target_that_slows_down_early_is_known_by_its_occupancy) {
+  const TargetList targets = Targets(10);
+  TargetLoadCollector collector;
+  std::vector<TargetLoadTable> instances(2);
+  MonotonicTime now = kStart;
+  for (int round = 0; round < 20; ++round) {
+    now += milliseconds(400);
+    for (TargetLoadTable& instance : instances) {
+      for (const auto& [id, target] : targets) {
+        for (const int outstanding : {2, 6}) {
+          const bool slow = id == "t0" && outstanding == 6;
+          instance.OnResponse(now, id, "route", kService * (slow ? 3 : 1),
+                              ReportedLoad{outstanding, 8});
+        }
+      }
+      collector.OnReport(now, instance.TakeReport(now));
+    }
+    const auto summary = collector.NextSummary(now, targets, {});
+    for (TargetLoadTable& instance : instances) {
+      instance.OnSummary(now, summary);
+    }
+  }
+  const auto slow = instances.front().Find(now, "t0");
+  const auto other = instances.front().Find(now, "t1");
+  cr_assert(slow->light_time < 1.2, "%f", slow->light_time);
+  cr_assert(slow->busy_time > 2, "%f", slow->busy_time);
+  cr_assert(other->light_time > 0.7 && other->busy_time < 1.3);
+
+  TargetChooserOptions options;
+  options.own_zone = "zone";
+  auto chooser = TargetChooser::Create(options);
+  cr_assert(chooser);
+  const std::vector<RouteTarget> routes = {{"t0", "zone", "127.0.0.1:1"},
+                                           {"t1", "zone", "127.0.0.1:2"}};
+  chooser.value().SetTargets(now, routes);
+  chooser.value().set_load_table(&instances.front());
+  // The target is preferred with two more free slots, but not with one more
+  // while that many are busy.
+  instances.front().OnReportedLoad(now, "t0", {2, 8});
+  instances.front().OnReportedLoad(now, "t1", {4, 8});
+  cr_assert(chooser.value().Choose(now) == std::size_t{0});
+  instances.front().OnReportedLoad(now, "t0", {6, 8});
+  instances.front().OnReportedLoad(now, "t1", {7, 8});
+  cr_assert(chooser.value().Choose(now) == std::size_t{1});
+}
+
+// The messages of a build that does not tell occupancies apart.
+Test(target_load, an_earlier_summary_has_one_time) {
+  TargetLoadTable table;
+  LeaderTargetLoads loads;
+  loads.targets = {{"t0", 1, 8, milliseconds(0), 2.5, 0, 0}};
+  const auto read = DecodeLeaderMessage(EncodeLeaderMessage({"leader", loads}));
+  cr_assert(read);
+  table.OnSummary(kStart,
+                  std::get<LeaderTargetLoads>(read.value().content).targets);
+  const auto estimate = table.Find(kStart, "t0");
+  cr_assert(estimate->light_time == 2.5 && estimate->busy_time == 2.5);
+}
+
 Test(target_load, of_keyed_services_only_full_targets_are_told) {
   const TargetList targets = Targets(3);
   TargetLoadCollector collector;
@@ -222,9 +285,9 @@
 Test(target_load, messages_round_trip) {
   LeaderReport report;
   report.zone = "zone";
-  report.target_loads = {{"t0", 5, 3, milliseconds(70), 2, 2.5}};
+  report.target_loads = {{"t0", 5, 3, milliseconds(70), 2, 2.5, 1, 1.5}};
   LeaderTargetLoads loads;
-  loads.targets = {{"t1", 4, 3, milliseconds(90), 1.25}};
+  loads.targets = {{"t1", 4, 3, milliseconds(90), 1.25, 0.75, 2.5}};
   loads.key_admissions["service"] = {{7, 0.125}, {65535, 0.5}};
   const auto read_report =
       DecodeLeaderMessage(EncodeLeaderMessage({"instance", report}));
