Cheaper draw of targets; routes without a priority are not urgent

The draw took a random number per candidate and a vector per request. A configuration without priorities had all its routes at priority 0, so that it learned capacity.

--- a/src/coordination/completion_chooser.cc
+++ b/src/coordination/completion_chooser.cc
@@ -20,16 +20,22 @@
 const CompletionCandidate* Draw(std::span<const CompletionCandidate> candidates,
                                 std::mt19937_64& random,
                                 Predicate is_eligible) {
-  const CompletionCandidate* drawn = nullptr;
   double total = 0;
+  for (const CompletionCandidate& candidate : candidates) {
+    if (is_eligible(candidate)) {
+      total += candidate.slots / candidate.relative_time;
+    }
+  }
+  double left = std::uniform_real_distribution<double>(0, total)(random);
+  const CompletionCandidate* drawn = nullptr;
   for (const CompletionCandidate& candidate : candidates) {
     if (!is_eligible(candidate)) {
       continue;
     }
-    const double capacity = candidate.slots / candidate.relative_time;
-    total += capacity;
-    if (std::uniform_real_distribution<double>(0, total)(random) < capacity) {
-      drawn = &candidate;
+    drawn = &candidate;
+    left -= candidate.slots / candidate.relative_time;
+    if (left < 0) {
+      break;
     }
   }
   return drawn;
--- a/src/coordination/target_chooser.cc
+++ b/src/coordination/target_chooser.cc
@@ -104,8 +104,8 @@
 std::optional<std::size_t> TargetChooser::ChooseByEstimates(
     MonotonicTime now,
     std::span<const TargetId> excluded) {
-  std::vector<CompletionCandidate> candidates;
-  candidates.reserve(m_entries.size());
+  std::vector<CompletionCandidate>& candidates = m_candidates;
+  candidates.clear();
   bool any_reachable = false;
   for (std::size_t i = 0; i < m_entries.size(); ++i) {
     if (!IsEligible(now, i, excluded)) {
--- a/src/coordination/target_chooser.h
+++ b/src/coordination/target_chooser.h
@@ -162,6 +162,8 @@
   TargetChooserOptions m_options;
   const TargetLoadTable* m_load_table = nullptr;
   std::vector<Entry> m_entries;
+  // Memory of ChooseByEstimates() between calls.
+  std::vector<CompletionCandidate> m_candidates;
   std::mt19937_64 m_random;
 };
 
--- a/tests/process/gateway_settings_test.cc
+++ b/tests/process/gateway_settings_test.cc
@@ -1,3 +1,4 @@
+#include "platform/policy_document.h"
 #include "platform/settings_file.h"
 
 #include <chrono>
@@ -73,5 +74,25 @@
   cr_assert(Settings().response_buffer_bytes == std::size_t{20} << 20);
 }
 
+// Load: a configuration from before routes had a priority.
+Test(gateway_settings,
+     a_configuration_without_priorities_has_no_urgent_routes) {
+  for (const std::string priority :
+       {"", R"("Priority":1,)", R"("Priority":0,)"}) {
+    const auto policy = ParsePolicyDocument(
+        R"({"Version":1,"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100,
+"HeaderTimeout":"3000ms","IdleTimeout":"15000ms"},
+"Listeners":[{"Host":"shop.example","Rules":[
+{"Name":"booking","Kind":"non_idempotent","TargetLatency":"800ms",)" +
+        priority + R"("Match":{"PathPrefix":"/"},"Action":{
+"Service":"booking","Timeout":"2000ms","MaxAttempts":2}}]}],
+"Clusters":[{"Name":"booking","HealthPath":"/health","MaxConnections":130,
+"Protocol":"h1","Tls":false}]})");
+    cr_assert(policy);
+    cr_assert(policy.value()->has_urgent_routes() ==
+              (priority.find('0') != std::string::npos));
+  }
+}
+
 }  // namespace
 }  // namespace snipehall::platform
--- a/tests/unit/target_load_test.cc
+++ b/tests/unit/target_load_test.cc
@@ -257,6 +257,26 @@
   cr_assert(chooser.value().Choose(now) == std::size_t{1});
 }
 
+// Load: all targets of a service have just started, and one has failed.
+Test(target_load, a_target_with_free_slots_makes_no_request_wait) {
+  const TargetLoadTable table;
+  TargetChooserOptions options;
+  options.own_zone = "zone";
+  auto chooser = TargetChooser::Create(options);
+  cr_assert(chooser);
+  chooser.value().set_load_table(&table);
+  const std::vector<RouteTarget> first = {{"t0", "zone", "127.0.0.1:1"}};
+  const std::vector<RouteTarget> both = {{"t0", "zone", "127.0.0.1:1"},
+                                         {"t1", "zone", "127.0.0.1:2"}};
+  chooser.value().SetTargets(kStart, first);
+  const MonotonicTime now = kStart + std::chrono::hours(1);
+  chooser.value().SetTargets(now, both);
+  chooser.value().OnSent(now, "t0");
+  chooser.value().OnFailed(now, "t0");
+  cr_assert(chooser.value().Outlook(now, "t0").wait <= 0);
+  cr_assert(chooser.value().Outlook(now, "t1").wait <= 0);
+}
+
 // The messages of a build that does not tell occupancies apart.
 Test(target_load, an_earlier_summary_has_one_time) {
   TargetLoadTable table;
