Count a passed deadline against a target only if it got the request

Cause: a request whose deadline passed before any byte was written made its target look slow. Change: RecordCapacity() asks for bytes sent. Run: gateway_test, all 14 tests, as a trial with a route of priority 0 so that capacity is learned: pass.

--- a/src/transport/gateway/gateway_router.cc
+++ b/src/transport/gateway/gateway_router.cc
@@ -574,7 +574,7 @@
     loads.OnReportedLoad(now, m_target.id, *load);
   }
   if (answered || result == TargetExchangeResult::kLost ||
-      (result == TargetExchangeResult::kInterrupted &&
+      (result == TargetExchangeResult::kInterrupted && exchange.sent() &&
        m_request.deadline_passed())) {
     loads.OnFailure(m_target.id);
   }
