--- a/src/coordination/completion_chooser.cc
+++ b/src/coordination/completion_chooser.cc
@@ -1,6 +1,7 @@
 #include "coordination/completion_chooser.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace snipehall {
 
@@ -14,23 +15,35 @@
 // next request at once.
 constexpr double kBusySlotWeight = 0.25;
 
+// Own loads that differ by less count as equal.
+constexpr double kOwnLoadTolerance = 0.5;
+
+double Capacity(const CompletionCandidate& candidate) {
+  return candidate.ramp * candidate.slots / candidate.relative_time;
+}
+
 // Draws a candidate for which `is_eligible` holds, with a probability in
 // proportion to its capacity; null if there is none.
 template <typename Predicate>
 const CompletionCandidate* Draw(std::span<const CompletionCandidate> candidates,
                                 std::mt19937_64& random,
                                 Predicate is_eligible) {
-  const CompletionCandidate* drawn = nullptr;
   double total = 0;
+  for (const CompletionCandidate& candidate : candidates) {
+    if (is_eligible(candidate)) {
+      total += Capacity(candidate);
+    }
+  }
+  double left = std::uniform_real_distribution<double>(0, total)(random);
+  const CompletionCandidate* drawn = nullptr;
   for (const CompletionCandidate& candidate : candidates) {
     if (!is_eligible(candidate)) {
       continue;
     }
-    const double capacity =
-        candidate.ramp * candidate.slots / candidate.relative_time;
-    total += capacity;
-    if (std::uniform_real_distribution<double>(0, total)(random) < capacity) {
-      drawn = &candidate;
+    drawn = &candidate;
+    left -= Capacity(candidate);
+    if (left < 0) {
+      break;
     }
   }
   return drawn;
@@ -41,12 +54,20 @@
     std::span<const CompletionCandidate> candidates,
     std::mt19937_64& random,
     bool local) {
-  const CompletionCandidate* first =
-      Draw(candidates, random,
-           [local](const auto& item) { return item.local == local; });
+  double least_load = std::numeric_limits<double>::infinity();
+  for (const CompletionCandidate& candidate : candidates) {
+    if (candidate.local == local) {
+      least_load = std::min(least_load, candidate.own_load);
+    }
+  }
+  const auto is_eligible = [local, least_load](const auto& item) {
+    return item.local == local &&
+           item.own_load < least_load + kOwnLoadTolerance;
+  };
+  const CompletionCandidate* first = Draw(candidates, random, is_eligible);
   const CompletionCandidate* second =
-      Draw(candidates, random, [local, first](const auto& item) {
-        return item.local == local && &item != first;
+      Draw(candidates, random, [&is_eligible, first](const auto& item) {
+        return is_eligible(item) && &item != first;
       });
   const CompletionCandidate* best =
       second != nullptr && second->Completion() < first->Completion() ? second
@@ -56,8 +77,7 @@
   }
   // Both are full, so the others are worth a look.
   for (const CompletionCandidate& candidate : candidates) {
-    if (candidate.local == local &&
-        candidate.Completion() < best->Completion()) {
+    if (is_eligible(candidate) && candidate.Completion() < best->Completion()) {
       best = &candidate;
     }
   }
--- a/src/coordination/completion_chooser.h
+++ b/src/coordination/completion_chooser.h
@@ -17,6 +17,8 @@
   double slots = 1;
   // Requests at the target, of all instances, as far as known.
   double outstanding = 0;
+  // This instance's own requests at the target, recent failures included.
+  double own_load = 0;
   // Service time relative to the mean of the service's targets.
   double relative_time = 1;
   // Part of its share of the requests that it gets; below 1 while it ramps up.
@@ -32,7 +34,9 @@
 // Chooses the target that is expected to complete a request early. It answers
 // uneven servers, with loads that are known with a delay: the best of two
 // candidates drawn by capacity is taken, so that instances with the same
-// reports do not all choose the same target, and fast targets get more.
+// reports do not all choose the same target, and fast targets get more. Only
+// those with the fewest requests of this instance are drawn: a target that has
+// stopped responding sends no reports, but keeps its requests.
 //
 // Targets of other zones are chosen only if they save a noticeable part of the
 // service time, because bytes between zones are expensive. Returns the index of
--- a/src/coordination/target_chooser.cc
+++ b/src/coordination/target_chooser.cc
@@ -69,31 +69,43 @@
              excluded.end();
 }
 
-CompletionCandidate TargetChooser::Candidate(MonotonicTime now,
-                                             std::size_t index) const {
+CompletionCandidate TargetChooser::Observe(MonotonicTime now,
+                                           std::size_t index) const {
   const Entry& entry = m_entries[index];
   CompletionCandidate candidate{index, entry.local, double(entry.slots),
-                                double(entry.outstanding), 1};
+                                double(entry.outstanding)};
   const auto estimate = m_load_table == nullptr
                             ? std::nullopt
                             : m_load_table->Find(now, entry.id);
   if (estimate) {
-    candidate.relative_time = estimate->relative_time;
     if (estimate->outstanding) {
       // The report includes this instance's own requests.
       candidate.slots = estimate->slots;
       candidate.outstanding =
           std::max<double>(entry.outstanding, *estimate->outstanding);
     }
+    candidate.relative_time =
+        IsLightlyLoaded(candidate.outstanding, candidate.slots)
+            ? estimate->light_time
+            : estimate->busy_time;
   }
   return candidate;
 }
 
+CompletionCandidate TargetChooser::Candidate(MonotonicTime now,
+                                             std::size_t index) const {
+  const Entry& entry = m_entries[index];
+  CompletionCandidate candidate = Observe(now, index);
+  candidate.own_load = entry.outstanding + FailurePenalty(now, entry);
+  candidate.ramp = SlowStartFactor(now, entry);
+  return candidate;
+}
+
 std::optional<std::size_t> TargetChooser::ChooseByEstimates(
     MonotonicTime now,
     std::span<const TargetId> excluded) {
-  std::vector<CompletionCandidate> candidates;
-  candidates.reserve(m_entries.size());
+  std::vector<CompletionCandidate>& candidates = m_candidates;
+  candidates.clear();
   bool any_reachable = false;
   for (std::size_t i = 0; i < m_entries.size(); ++i) {
     if (!IsEligible(now, i, excluded)) {
@@ -106,8 +118,6 @@
     any_reachable = any_reachable || reachable;
     if (reachable || !any_reachable) {
       candidates.push_back(Candidate(now, i));
-      candidates.back().ramp = SlowStartFactor(now, m_entries[i]);
-      candidates.back().outstanding += FailurePenalty(now, m_entries[i]);
     }
   }
   return ChooseByCompletion(candidates, m_random);
@@ -121,8 +131,9 @@
   if (found == m_entries.end()) {
     return {};
   }
+  // A slow start and recent failures do not delay a request at the target.
   const CompletionCandidate candidate =
-      Candidate(now, static_cast<std::size_t>(found - m_entries.begin()));
+      Observe(now, static_cast<std::size_t>(found - m_entries.begin()));
   return {candidate.QueueLength() * candidate.relative_time,
           candidate.relative_time};
 }
--- a/src/coordination/target_chooser.h
+++ b/src/coordination/target_chooser.h
@@ -146,7 +146,10 @@
   bool IsEligible(MonotonicTime now,
                   std::size_t index,
                   std::span<const TargetId> excluded) const;
-  // The target's state as far as it is known to all instances.
+  // The target's load and speed as far as known.
+  CompletionCandidate Observe(MonotonicTime now, std::size_t index) const;
+  // The same with what only this instance knows: its own requests, failures and
+  // the slow start.
   CompletionCandidate Candidate(MonotonicTime now, std::size_t index) const;
   std::optional<std::size_t> ChooseByEstimates(
       MonotonicTime now,
@@ -160,6 +163,8 @@
   TargetChooserOptions m_options;
   const TargetLoadTable* m_load_table = nullptr;
   std::vector<Entry> m_entries;
+  // Memory of ChooseByEstimates() between calls.
+  std::vector<CompletionCandidate> m_candidates;
   std::mt19937_64 m_random;
 };
 
--- a/src/coordination/target_load_table.cc
+++ b/src/coordination/target_load_table.cc
@@ -10,17 +10,27 @@
   return found != m_targets.end() ? found->second : m_targets[TargetId(target)];
 }
 
+TargetLoadTable::Entry& TargetLoadTable::FindForReport(
+    std::string_view target) {
+  Entry& entry = FindOrAdd(target);
+  if (!entry.is_pending) {
+    entry.is_pending = true;
+    m_pending.emplace_back(target);
+  }
+  return entry;
+}
+
 void TargetLoadTable::OnReportedLoad(MonotonicTime now,
                                      std::string_view target,
                                      const ReportedLoad& load) {
-  Entry& entry = FindOrAdd(target);
+  Entry& entry = FindForReport(target);
   entry.load = load;
   entry.loaded_at = now;
   entry.is_unreported = true;
 }
 
 void TargetLoadTable::OnFailure(std::string_view target) {
-  Entry& entry = FindOrAdd(target);
+  Entry& entry = FindForReport(target);
   ++entry.responses;
   entry.relative_time_sum += kFailureTime;
 }
@@ -45,10 +55,15 @@
   mean.responses = std::min(mean.responses + 1, kRouteSample);
   mean.seconds += (seconds - mean.seconds) / mean.responses;
   if (mean.seconds > 0) {
-    Entry& entry = FindOrAdd(target);
+    Entry& entry = FindForReport(target);
     ++entry.responses;
-    entry.relative_time_sum +=
+    const double relative_time =
         std::clamp(seconds / mean.seconds, kMinRelativeTime, kMaxRelativeTime);
+    entry.relative_time_sum += relative_time;
+    if (!IsLightlyLoaded(load->outstanding, load->slots)) {
+      ++entry.busy_responses;
+      entry.busy_time_sum += relative_time;
+    }
   }
 }
 
@@ -57,23 +72,30 @@
   for (const TargetLoadSummary& item : summary) {
     Entry& entry = FindOrAdd(item.target);
     entry.relative_time = item.relative_time;
+    entry.light_time = item.light_time;
+    entry.busy_time = item.busy_time;
     entry.summary_at = now;
     const MonotonicTime loaded_at = now - item.age;
     if (item.slots > 0 && (!entry.loaded_at || *entry.loaded_at < loaded_at)) {
       entry.load = {item.outstanding, item.slots};
       entry.loaded_at = loaded_at;
+      entry.is_unreported = false;
     }
   }
 }
 
 std::vector<TargetLoadSample> TargetLoadTable::TakeReport(MonotonicTime now) {
   std::vector<TargetLoadSample> samples;
-  for (auto& [id, entry] : m_targets) {
-    if (!entry.is_unreported && entry.responses == 0) {
+  while (!m_pending.empty() && samples.size() < kMaxReportTargets) {
+    const auto found = m_targets.find(m_pending.front());
+    m_pending.pop_front();
+    if (found == m_targets.end()) {
       continue;
     }
-    if (samples.size() == kMaxReportTargets) {
-      break;
+    auto& [id, entry] = *found;
+    entry.is_pending = false;
+    if (!entry.is_unreported && entry.responses == 0) {
+      continue;
     }
     TargetLoadSample sample;
     sample.target = id;
@@ -85,6 +107,8 @@
     }
     sample.responses = std::exchange(entry.responses, 0);
     sample.relative_time_sum = std::exchange(entry.relative_time_sum, 0);
+    sample.busy_responses = std::exchange(entry.busy_responses, 0);
+    sample.busy_time_sum = std::exchange(entry.busy_time_sum, 0);
     entry.is_unreported = false;
     samples.push_back(std::move(sample));
   }
@@ -111,6 +135,8 @@
   }
   if (entry.summary_at && now - *entry.summary_at < kSummaryLifetime) {
     estimate.relative_time = entry.relative_time;
+    estimate.light_time = entry.light_time;
+    estimate.busy_time = entry.busy_time;
   }
   return estimate;
 }
--- a/src/coordination/target_load_table.h
+++ b/src/coordination/target_load_table.h
@@ -1,10 +1,13 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "state/reported_load.h"
@@ -24,6 +27,9 @@
   // relative to the mean service time of its route at this instance.
   std::uint32_t responses = 0;
   double relative_time_sum = 0;
+  // Those of them at more than half of the slots; see IsLightlyLoaded().
+  std::uint32_t busy_responses = 0;
+  double busy_time_sum = 0;
 
   bool operator==(const TargetLoadSample&) const = default;
 };
@@ -38,6 +44,9 @@
   // Service time relative to the mean of the service's targets; 2 is half as
   // fast.
   double relative_time = 1;
+  // The same while at most half of the slots are busy, and while more are.
+  double light_time = 1;
+  double busy_time = 1;
 
   bool operator==(const TargetLoadSummary&) const = default;
 };
@@ -50,8 +59,16 @@
   int slots = 1;
   // See TargetLoadSummary.
   double relative_time = 1;
+  double light_time = 1;
+  double busy_time = 1;
 };
 
+// Whether at most half of the slots are busy. Some targets slow down above
+// that, long before they are full.
+inline bool IsLightlyLoaded(double outstanding, double slots) {
+  return outstanding * 2 <= slots;
+}
+
 // Estimates the load and the speed of targets, from the responses that this
 // instance gets and from the summaries of the leader. It answers uneven
 // servers: those of one service work at different speeds, some slow down for a
@@ -120,8 +137,21 @@
     bool is_unreported = false;
     std::uint32_t responses = 0;
     double relative_time_sum = 0;
+    std::uint32_t busy_responses = 0;
+    double busy_time_sum = 0;
     double relative_time = 1;
+    double light_time = 1;
+    double busy_time = 1;
     std::optional<MonotonicTime> summary_at;
+    // The target is in `m_pending`.
+    bool is_pending = false;
+  };
+
+  struct IdHash {
+    using is_transparent = void;
+    std::size_t operator()(std::string_view id) const {
+      return std::hash<std::string_view>()(id);
+    }
   };
 
   // Mean service time of a route, seconds.
@@ -131,8 +161,12 @@
   };
 
   Entry& FindOrAdd(std::string_view target);
+  // Returns the entry after adding it to `m_pending`.
+  Entry& FindForReport(std::string_view target);
 
-  std::map<TargetId, Entry, std::less<>> m_targets;
+  std::unordered_map<TargetId, Entry, IdHash, std::equal_to<>> m_targets;
+  // Targets of the next reports, in the order in which they were observed.
+  std::deque<TargetId> m_pending;
   std::map<std::string, RouteTime, std::less<>> m_routes;
 };
 
--- a/tests/unit/completion_chooser_test.cc
+++ b/tests/unit/completion_chooser_test.cc
@@ -63,7 +63,7 @@
   UnevenTargets targets;
   std::vector<CompletionCandidate> candidates(kTargets);
   for (std::size_t i = 0; i < kTargets; ++i) {
-    candidates[i] = {i, true, kSlots, 0, 1};
+    candidates[i] = {i, true, kSlots, 0};
   }
   if (knows_speeds) {
     candidates[0].relative_time = kSlowFactor;
@@ -100,8 +100,8 @@
 
 Test(completion_chooser, other_zones_serve_only_what_would_wait) {
   std::mt19937_64 random(1);
-  std::vector<CompletionCandidate> candidates = {{0, true, 3, 2, 1},
-                                                 {1, false, 3, 0, 1}};
+  std::vector<CompletionCandidate> candidates = {{0, true, 3, 2},
+                                                 {1, false, 3, 0}};
   cr_assert(*ChooseByCompletion(candidates, random) == 0);
   candidates[0].outstanding = 9;
   cr_assert(*ChooseByCompletion(candidates, random) == 1);
