Count a lost response as a crash only if its target has ended

Cause: each connection that ended without a response counted as a crash of the target, also when a full target closed it and served others. A response cleared the suspicion only where a loss was known, and reports of earlier losses or of the block brought it back; two instances could renew an expired block for each other. Each instance logged each block.

Change: after such a loss the instance connects to the target; only a refused connection or a new start time counts. The leader passes the first loss on, so that a response at any instance refutes the losses before it, and remembers that. The leader alone logs a block.

--- a/src/coordination/poison_request_detector.cc
+++ b/src/coordination/poison_request_detector.cc
@@ -42,6 +42,9 @@
 }
 
 bool PoisonRequestDetector::OnTargetLost(MonotonicTime now, const Loss& loss) {
+  if (IsRefuted(loss.lost_at, loss.digest)) {
+    return false;
+  }
   Suspect& suspect = FindOrAdd(now, loss.digest);
   if (now >= suspect.expires_at) {
     suspect = Suspect();
@@ -83,16 +86,48 @@
   return recent;
 }
 
-bool PoisonRequestDetector::OnResponse(RequestDigest digest) {
-  return m_suspects.erase(digest) > 0;
+bool PoisonRequestDetector::OnResponse(MonotonicTime now,
+                                       RequestDigest digest) {
+  return m_suspects.contains(digest) && OnHarmless(now, digest);
+}
+
+bool PoisonRequestDetector::OnHarmless(MonotonicTime now,
+                                       RequestDigest digest) {
+  const bool suspected = m_suspects.erase(digest) > 0;
+  m_answered_at.insert_or_assign(digest, now);
+  if (m_answered_at.size() > kMaxRequests) {
+    m_answered_at.erase(std::min_element(
+        m_answered_at.begin(), m_answered_at.end(),
+        [](const auto& a, const auto& b) { return a.second < b.second; }));
+  }
+  return suspected;
 }
 
-void PoisonRequestDetector::OnBlocked(MonotonicTime now, RequestDigest digest) {
+bool PoisonRequestDetector::OnBlocked(MonotonicTime now, RequestDigest digest) {
+  if (IsRefuted(now - kRefutationTime, digest)) {
+    return false;
+  }
   Suspect& suspect = FindOrAdd(now, digest);
   suspect.last_loss_at = std::max(suspect.last_loss_at, now);
   if (now >= suspect.blocked_until) {
     Block(now, suspect);
   }
+  return true;
+}
+
+bool PoisonRequestDetector::OnBlockReported(MonotonicTime now,
+                                            RequestDigest digest) {
+  const auto found = m_suspects.find(digest);
+  if (found != m_suspects.end() && found->second.was_blocked) {
+    return true;
+  }
+  return OnBlocked(now, digest);
+}
+
+bool PoisonRequestDetector::IsRefuted(MonotonicTime time,
+                                      RequestDigest digest) const {
+  const auto found = m_answered_at.find(digest);
+  return found != m_answered_at.end() && found->second >= time;
 }
 
 bool PoisonRequestDetector::IsBlocked(MonotonicTime now,
--- a/src/coordination/poison_request_detector.h
+++ b/src/coordination/poison_request_detector.h
@@ -11,10 +11,11 @@
 // Detects poison requests: those that crash every target which runs them. A
 // request is identified by its digest, since each repeat has another ID.
 //
-// A lost response alone proves nothing: the target may have crashed for another
-// reason, with many requests at work. But a request after whose delivery three
-// targets were lost, no two of them at work on it at the same time, is blocked.
-// A response shows that the request is harmless.
+// A crash alone proves nothing: it may have another reason, with many requests
+// at work. But a request after whose delivery three targets crashed, no two of
+// them at work on it at the same time, is blocked. A response shows that the
+// request is harmless: it refutes all losses before it, also those that are
+// reported later.
 //
 // After a time that doubles with each further crash, a blocked request may be
 // sent once more. Used by each instance for its own observations, and by the
@@ -34,8 +35,11 @@
   // Maximum number of digests that BlockedRequests() returns, and of losses
   // that RecentLosses() returns.
   static constexpr std::size_t kMaxReported = 64;
+  // Time after a response in which reports that the request is blocked are
+  // taken for outdated.
+  static constexpr Milliseconds kRefutationTime{10000};
 
-  // The connection to a target ended without a response to a request.
+  // A target crashed while it was at work on a request.
   struct Loss {
     RequestDigest digest = 0;
     // When the request was sent to the target, and when the connection ended.
@@ -48,12 +52,22 @@
   bool OnTargetLost(MonotonicTime now, const Loss& loss);
   // Call when a target has responded to the request. Returns whether it was
   // suspected.
-  bool OnResponse(RequestDigest digest);
-  // Call when the leader reports that the request is blocked.
-  void OnBlocked(MonotonicTime now, RequestDigest digest);
+  bool OnResponse(MonotonicTime now, RequestDigest digest);
+  // Call when another instance reports that a target has responded to the
+  // request, whether or not it is suspected here. Returns whether it was.
+  bool OnHarmless(MonotonicTime now, RequestDigest digest);
+  // Call when the leader reports that the request is blocked. Returns false,
+  // and changes nothing, if a response has refuted that.
+  bool OnBlocked(MonotonicTime now, RequestDigest digest);
+  // The same on the leader, for the report of another instance. A block that
+  // has expired here is not renewed: it began later at that instance.
+  bool OnBlockReported(MonotonicTime now, RequestDigest digest);
 
   // Whether the request must not be sent.
   bool IsBlocked(MonotonicTime now, RequestDigest digest) const;
+  bool IsSuspected(RequestDigest digest) const {
+    return m_suspects.contains(digest);
+  }
   // Whether no request is suspected or blocked, so that the digests of requests
   // need not be computed.
   bool empty() const { return m_suspects.empty(); }
@@ -81,7 +95,13 @@
   // Returns the request, which it adds if it is not known.
   Suspect& FindOrAdd(MonotonicTime now, RequestDigest digest);
 
+  // Whether a target has responded to the request at `time` or later.
+  bool IsRefuted(MonotonicTime time, RequestDigest digest) const;
+
   std::unordered_map<RequestDigest, Suspect> m_suspects;
+  // Time of the last response to requests that were suspected, at most
+  // kMaxRequests.
+  std::unordered_map<RequestDigest, MonotonicTime> m_answered_at;
 };
 
 }  // namespace snipehall
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -100,8 +100,9 @@
                                       PermitRequests::OnResponse on_response) {
       m_control.RequestPermit(target, limit, std::move(on_response));
     };
-    m_context.on_target_lost = [this](const PoisonRequestDetector::Loss& loss) {
-      m_control.ReportTargetLost(loss);
+    m_context.on_target_lost = [this](const PoisonRequestDetector::Loss& loss,
+                                      bool blocks) {
+      m_control.ReportTargetLost(loss, blocks);
     };
     m_context.on_harmless_request = [this](RequestDigest digest) {
       m_control.ReportHarmless(digest);
--- a/src/transport/gateway/gateway_context.h
+++ b/src/transport/gateway/gateway_context.h
@@ -100,9 +100,10 @@
   // in requests per second.
   std::function<void(std::string_view target, std::optional<double> limit)>
       on_rate_limit;
-  // Called when the connection to a target ended without a response to the
-  // request.
-  std::function<void(const PoisonRequestDetector::Loss&)> on_target_lost;
+  // Called when a target has crashed while it was at work on a request;
+  // `blocks` tells whether the request is blocked by that.
+  std::function<void(const PoisonRequestDetector::Loss&, bool blocks)>
+      on_target_lost;
   // Called when a target has responded to a request that was suspected to crash
   // targets.
   std::function<void(RequestDigest digest)> on_harmless_request;
--- a/src/transport/gateway/gateway_control.h
+++ b/src/transport/gateway/gateway_control.h
@@ -276,14 +276,21 @@
         {m_instance, LeaderPermitRequest{number, TargetId(target), limit}});
   }
 
-  // Call when the connection to a target ended without a response to a request;
-  // see PoisonRequestDetector. Tells the leader or, on the leader, the other
-  // instances if the request is blocked.
-  void ReportTargetLost(const PoisonRequestDetector::Loss& loss) {
-    if (!m_key_leader.IsNamedLeader()) {
-      SendLosses({loss});
-    } else if (m_poison_requests.IsBlocked(Now(), loss.digest)) {
-      AnnounceBlockedRequests(loss.digest);
+  // Call when a target has crashed at work on a request; `blocks` tells whether
+  // the request is blocked by that; see PoisonRequestDetector. Tells the leader
+  // or, on the leader, the other instances.
+  void ReportTargetLost(const PoisonRequestDetector::Loss& loss, bool blocks) {
+    if (m_key_leader.IsNamedLeader()) {
+      AnnounceLoss(loss, blocks);
+      return;
+    }
+    SendLosses(m_state.keys().leader_address, {loss});
+    if (blocks) {
+      m_metrics.IncrementEvent("request_blocked");
+      if (!HasKeyedService()) {
+        // There is no leader that logs it.
+        LogBlockedRequest(loss.digest);
+      }
     }
   }
 
@@ -498,29 +505,16 @@
       m_leader_failure_detector.OnNotServing(message.from);
     } else if (const auto* lost =
                    std::get_if<LeaderTargetsLost>(&message.content)) {
-      if (m_key_leader.IsNamedLeader()) {
-        for (const LeaderTargetsLost::Loss& loss : lost->losses) {
-          if (m_poison_requests.OnTargetLost(
-                  now,
-                  {loss.digest, now - loss.sent_ago, now - loss.lost_ago})) {
-            AnnounceBlockedRequests(loss.digest);
-          }
-        }
-      }
+      OnTargetsLost(*lost);
     } else if (const auto* harmless =
                    std::get_if<LeaderRequestHarmless>(&message.content)) {
-      m_poison_requests.OnResponse(harmless->digest);
-      if (m_key_leader.IsNamedLeader()) {
+      if (m_poison_requests.OnHarmless(now, harmless->digest) &&
+          m_key_leader.IsNamedLeader()) {
         ReportHarmless(harmless->digest);
       }
     } else if (const auto* blocked =
                    std::get_if<LeaderRequestsBlocked>(&message.content)) {
-      for (const RequestDigest digest : blocked->digests) {
-        if (!m_poison_requests.IsBlocked(now, digest)) {
-          LogBlockedRequest(digest);
-          m_poison_requests.OnBlocked(now, digest);
-        }
-      }
+      OnRequestsBlocked(sender, *blocked);
     } else if (const auto* leaving =
                    std::get_if<LeaderTargetLeaving>(&message.content)) {
       if (m_key_leader.IsNamedLeader()) {
@@ -628,8 +622,10 @@
            CutOffKeyedServices(services).size();
   }
 
-  // Sends losses to the leader.
-  void SendLosses(const std::vector<PoisonRequestDetector::Loss>& losses) {
+  // Sends losses to the leader or, from the leader, to another instance.
+  template <typename Receiver>
+  void SendLosses(const Receiver& receiver,
+                  const std::vector<PoisonRequestDetector::Loss>& losses) {
     const MonotonicTime now = Now();
     LeaderTargetsLost message;
     message.losses.reserve(losses.size());
@@ -639,8 +635,42 @@
            std::chrono::duration_cast<Milliseconds>(now - loss.sent_at),
            std::chrono::duration_cast<Milliseconds>(now - loss.lost_at)});
     }
-    m_link.Send(m_state.keys().leader_address,
-                {m_instance, std::move(message)});
+    m_link.Send(receiver, {m_instance, std::move(message)});
+  }
+
+  // Losses that another instance has seen, or that the leader passes on.
+  void OnTargetsLost(const LeaderTargetsLost& lost) {
+    const MonotonicTime now = Now();
+    for (const LeaderTargetsLost::Loss& received : lost.losses) {
+      const PoisonRequestDetector::Loss loss{
+          received.digest, now - received.sent_ago, now - received.lost_ago};
+      const bool known = m_poison_requests.IsSuspected(loss.digest);
+      const bool blocks = m_poison_requests.OnTargetLost(now, loss);
+      if (m_key_leader.IsNamedLeader()) {
+        // An instance that knows of the suspicion reports a response.
+        if (blocks || (!known && m_poison_requests.IsSuspected(loss.digest))) {
+          AnnounceLoss(loss, blocks);
+        }
+      } else if (blocks) {
+        m_metrics.IncrementEvent("request_blocked");
+      }
+    }
+  }
+
+  void OnRequestsBlocked(const LeaderLink::Endpoint& sender,
+                         const LeaderRequestsBlocked& blocked) {
+    const MonotonicTime now = Now();
+    for (const RequestDigest digest : blocked.digests) {
+      const bool known = m_poison_requests.IsBlocked(now, digest);
+      const bool accepted = m_key_leader.IsNamedLeader()
+                                ? m_poison_requests.OnBlockReported(now, digest)
+                                : m_poison_requests.OnBlocked(now, digest);
+      if (!accepted) {
+        m_link.Send(sender, {m_instance, LeaderRequestHarmless{digest}});
+      } else if (!known && m_poison_requests.IsBlocked(now, digest)) {
+        m_metrics.IncrementEvent("request_blocked");
+      }
+    }
   }
 
   // Tells the leader of blocked requests and of recent losses at intervals:
@@ -658,21 +688,28 @@
     const std::vector<PoisonRequestDetector::Loss> losses =
         m_poison_requests.RecentLosses(now, now - kLossReportTime);
     if (!losses.empty()) {
-      SendLosses(losses);
+      SendLosses(m_state.keys().leader_address, losses);
     }
   }
 
   void LogBlockedRequest(RequestDigest digest) {
-    m_metrics.IncrementEvent("request_blocked");
     m_log.Write("request_blocked", {{"digest", ToString(digest)}});
   }
 
-  // Tells the instances that report to this leader of a request that is blocked
-  // from now on.
-  void AnnounceBlockedRequests(RequestDigest digest) {
-    LogBlockedRequest(digest);
+  // Tells the instances that report to this leader of a loss, and of the
+  // request if it is blocked from now on.
+  void AnnounceLoss(const PoisonRequestDetector::Loss& loss, bool blocks) {
+    if (blocks) {
+      m_metrics.IncrementEvent("request_blocked");
+      LogBlockedRequest(loss.digest);
+    }
     for (const auto& [endpoint, seen] : m_reporters) {
-      m_link.Send(endpoint, {m_instance, LeaderRequestsBlocked{{digest}}});
+      if (blocks) {
+        m_link.Send(endpoint,
+                    {m_instance, LeaderRequestsBlocked{{loss.digest}}});
+      } else {
+        SendLosses(endpoint, {loss});
+      }
     }
   }
 
--- a/src/transport/gateway/gateway_router.cc
+++ b/src/transport/gateway/gateway_router.cc
@@ -20,6 +20,8 @@
 constexpr int kMaxForwardConnections = 256;
 // Maximum number of instances to which a request is forwarded.
 constexpr std::size_t kMaxForwarders = 2;
+// A target that ends may close its connections before it stops listening.
+constexpr Milliseconds kTargetEndTime{20};
 // Failed connection attempts after which a request is answered with 503.
 constexpr int kMaxFailedConnects = 3;
 // A request waits for an owner of its key for at most the route's latency
@@ -235,21 +237,56 @@
          m_context.poison_requests.IsBlocked(Now(), digest());
 }
 
-void GatewayRouter::RecordTargetLost(MonotonicTime sent_at) {
-  const MonotonicTime now = Now();
-  const PoisonRequestDetector::Loss loss{digest(), sent_at, now};
-  m_context.poison_requests.OnTargetLost(now, loss);
+void GatewayRouter::RecordTargetCrash(MonotonicTime sent_at,
+                                      MonotonicTime lost_at) {
+  m_context.metrics.IncrementEvent("target_crashed");
+  const PoisonRequestDetector::Loss loss{digest(), sent_at, lost_at};
+  const bool blocks = m_context.poison_requests.OnTargetLost(Now(), loss);
   if (m_context.on_target_lost) {
-    m_context.on_target_lost(loss);
+    m_context.on_target_lost(loss, blocks);
   }
 }
 
+Task<bool> GatewayRouter::HasTargetEnded(
+    const std::shared_ptr<TargetPool>& pool) {
+  for (int i = 0; i < 2; ++i) {
+    const std::shared_ptr<ByteStream> stream =
+        pool->NewStream(m_context.executor);
+    const TargetPool::PooledConnection lease(pool, stream);
+    m_request.target_stream = stream.get();
+    m_request.SetStepDeadline(Now() + kConnectTimeout);
+    const auto [error] =
+        co_await stream->socket().async_connect(pool->endpoint(), kAsTuple);
+    m_request.target_stream = nullptr;
+    m_request.ClearStepDeadline();
+    if (error) {
+      co_return error == boost::asio::error::connection_refused;
+    }
+    const auto listed = m_context.state.targets().find(m_target.id);
+    if (listed != m_context.state.targets().end() &&
+        listed->second.start_time_ms != m_target_start_ms) {
+      co_return true;
+    }
+    if (i == 0) {
+      m_request.SetStepDeadline(Now() + kTargetEndTime);
+      while (!m_request.wait_cancelled()) {
+        co_await m_request.event.Wait();
+      }
+      m_request.ClearStepDeadline();
+    }
+    if (m_request.interrupted()) {
+      break;
+    }
+  }
+  co_return false;
+}
+
 void GatewayRouter::RecordResponse() {
   if (m_context.poison_requests.empty()) {
     return;
   }
   const RequestDigest request_digest = digest();
-  if (m_context.poison_requests.OnResponse(request_digest) &&
+  if (m_context.poison_requests.OnResponse(Now(), request_digest) &&
       m_context.on_harmless_request) {
     m_context.on_harmless_request(request_digest);
   }
@@ -519,7 +556,11 @@
       chooser.OnFailed(Now(), m_target.id);
       m_may_have_run = true;
       if (exchange.connection_lost()) {
-        RecordTargetLost(sent);
+        const MonotonicTime lost_at = Now();
+        const bool ended = co_await HasTargetEnded(pool);
+        if (ended) {
+          RecordTargetCrash(sent, lost_at);
+        }
       }
       co_return HandleLostResponse();
     case TargetExchangeResult::kInterrupted:
--- a/src/transport/gateway/gateway_router.h
+++ b/src/transport/gateway/gateway_router.h
@@ -69,10 +69,14 @@
   // Whether the request crashes its targets and must not be sent.
   bool IsBlocked() const;
   RequestDigest digest() const;
-  // Updates the suspicion that the request crashes its targets after a lost or
-  // complete response.
-  void RecordTargetLost(MonotonicTime sent_at);
+  // Updates the suspicion that the request crashes its targets after a crash or
+  // a complete response.
+  void RecordTargetCrash(MonotonicTime sent_at, MonotonicTime lost_at);
   void RecordResponse();
+  // Whether the process of the target, to which a connection was lost, has
+  // ended: it refuses connections or has started anew. A full target that
+  // closes connections, or one that is cut off, has not.
+  Task<bool> HasTargetEnded(const std::shared_ptr<TargetPool>& pool);
   // Decides whether the request may be sent to `m_target` now; see
   // RequestAdmission. Returns nothing if so, after a wait or a refusal the next
   // action.
