Count each loss once however its reports are delayed

Cause: a loss is reported at once and again every 2 s, as ages in whole milliseconds. A loss 1 ms after the request was sent overlaps none of its own repeats when their delay differs by more, so that one loss counted three times.

Change: each loss has a number, which the reports carry; a number that is known counts no more. A process test counts the log lines of a block.

--- a/src/coordination/leader_message.h
+++ b/src/coordination/leader_message.h
@@ -112,6 +112,8 @@
     // ended.
     Milliseconds sent_ago{0};
     Milliseconds lost_ago{0};
+    // Identifies the loss; see PoisonRequestDetector::Loss.
+    std::uint64_t number = 0;
   };
 
   std::vector<Loss> losses;
--- a/src/coordination/poison_request_detector.cc
+++ b/src/coordination/poison_request_detector.cc
@@ -49,6 +49,16 @@
   if (now >= suspect.expires_at) {
     suspect = Suspect();
   }
+  if (loss.number != 0) {
+    if (std::find(suspect.numbers.begin(), suspect.numbers.end(),
+                  loss.number) != suspect.numbers.end()) {
+      return false;
+    }
+    suspect.numbers.push_back(loss.number);
+    if (suspect.numbers.size() > kMaxReported) {
+      suspect.numbers.pop_front();
+    }
+  }
   // Targets that were at work at the same time may have been lost together.
   const bool overlaps = std::any_of(
       suspect.losses.begin(), suspect.losses.end(), [&loss](const Loss& known) {
--- a/src/coordination/poison_request_detector.h
+++ b/src/coordination/poison_request_detector.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
+#include <deque>
 #include <unordered_map>
 #include <vector>
 
@@ -45,6 +47,9 @@
     // When the request was sent to the target, and when the connection ended.
     MonotonicTime sent_at;
     MonotonicTime lost_at;
+    // Identifies the loss among those of the request, at all instances; zero if
+    // it is not known. The times differ in each report.
+    std::uint64_t number = 0;
   };
 
   // Call for each loss, in any order; reporting one again changes nothing.
@@ -82,6 +87,8 @@
   struct Suspect {
     // Losses that count, at most kMaxCrashes.
     std::vector<Loss> losses;
+    // Numbers of the last losses, also of those that do not count.
+    std::deque<std::uint64_t> numbers;
     // A loss blocks the request again after it was blocked once.
     bool was_blocked = false;
     MonotonicTime last_loss_at;
--- a/src/protocol/lead_message.capnp
+++ b/src/protocol/lead_message.capnp
@@ -139,6 +139,8 @@
   sentAgoMs @1 :UInt32;
   # Time since the connection ended, in milliseconds.
   lostAgoMs @2 :UInt32;
+  # Identifies the loss among those of the request.
+  number @3 :UInt64;
 }
 
 struct TargetLeaving {
--- a/src/protocol/lead_message.capnp.h
+++ b/src/protocol/lead_message.capnp.h
@@ -211,7 +211,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e4d78d9389e1e5b4, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(e4d78d9389e1e5b4, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1434,6 +1434,8 @@
 
   inline  ::uint32_t getLostAgoMs() const;
 
+  inline  ::uint64_t getNumber() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1471,6 +1473,9 @@
   inline  ::uint32_t getLostAgoMs();
   inline void setLostAgoMs( ::uint32_t value);
 
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3430,6 +3435,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t TargetLost::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TargetLost::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void TargetLost::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool TargetLeaving::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/protocol/leader_message_codec.cc
+++ b/src/protocol/leader_message_codec.cc
@@ -253,6 +253,7 @@
       losses[i].setDigest(loss.digest);
       losses[i].setSentAgoMs(static_cast<std::uint32_t>(loss.sent_ago.count()));
       losses[i].setLostAgoMs(static_cast<std::uint32_t>(loss.lost_ago.count()));
+      losses[i].setNumber(loss.number);
     }
   }
   void operator()(const LeaderRequestHarmless& harmless) {
@@ -325,9 +326,9 @@
     case wire::LeadMessage::TARGETS_LOST: {
       LeaderTargetsLost lost;
       for (const auto loss : reader.getTargetsLost()) {
-        lost.losses.push_back({loss.getDigest(),
-                               Milliseconds(loss.getSentAgoMs()),
-                               Milliseconds(loss.getLostAgoMs())});
+        lost.losses.push_back(
+            {loss.getDigest(), Milliseconds(loss.getSentAgoMs()),
+             Milliseconds(loss.getLostAgoMs()), loss.getNumber()});
       }
       message.content = std::move(lost);
       return message;
--- a/src/transport/gateway/gateway_control.h
+++ b/src/transport/gateway/gateway_control.h
@@ -633,7 +633,8 @@
       message.losses.push_back(
           {loss.digest,
            std::chrono::duration_cast<Milliseconds>(now - loss.sent_at),
-           std::chrono::duration_cast<Milliseconds>(now - loss.lost_at)});
+           std::chrono::duration_cast<Milliseconds>(now - loss.lost_at),
+           loss.number});
     }
     m_link.Send(receiver, {m_instance, std::move(message)});
   }
@@ -643,7 +644,8 @@
     const MonotonicTime now = Now();
     for (const LeaderTargetsLost::Loss& received : lost.losses) {
       const PoisonRequestDetector::Loss loss{
-          received.digest, now - received.sent_ago, now - received.lost_ago};
+          received.digest, now - received.sent_ago, now - received.lost_ago,
+          received.number};
       const bool known = m_poison_requests.IsSuspected(loss.digest);
       const bool blocks = m_poison_requests.OnTargetLost(now, loss);
       if (m_key_leader.IsNamedLeader()) {
--- a/src/transport/gateway/gateway_router.cc
+++ b/src/transport/gateway/gateway_router.cc
@@ -21,7 +21,7 @@
 // Maximum number of instances to which a request is forwarded.
 constexpr std::size_t kMaxForwarders = 2;
 // A target that ends may close its connections before it stops listening.
-constexpr Milliseconds kTargetEndTime{20};
+constexpr Milliseconds kTargetEndTime{50};
 // Failed connection attempts after which a request is answered with 503.
 constexpr int kMaxFailedConnects = 3;
 // A request waits for an owner of its key for at most the route's latency
@@ -240,7 +240,9 @@
 void GatewayRouter::RecordTargetCrash(MonotonicTime sent_at,
                                       MonotonicTime lost_at) {
   m_context.metrics.IncrementEvent("target_crashed");
-  const PoisonRequestDetector::Loss loss{digest(), sent_at, lost_at};
+  const PoisonRequestDetector::Loss loss{
+      digest(), sent_at, lost_at,
+      static_cast<std::uint64_t>(lost_at.time_since_epoch().count())};
   const bool blocks = m_context.poison_requests.OnTargetLost(Now(), loss);
   if (m_context.on_target_lost) {
     m_context.on_target_lost(loss, blocks);
--- a/tests/process/poison_request_test.cc
+++ b/tests/process/poison_request_test.cc
@@ -63,6 +63,16 @@
   return refused;
 }
 
+std::size_t CountLoggedBlocks(const GatewayCluster& cluster) {
+  std::size_t blocks = 0;
+  for (std::size_t i = 0; i < cluster.gateways(); ++i) {
+    for (const std::string& line : cluster.LogLines(i)) {
+      blocks += line.find("\"request_blocked\"") != std::string::npos ? 1 : 0;
+    }
+  }
+  return blocks;
+}
+
 void RequireFewCrashes(const GatewayCluster& cluster) {
   const std::size_t crashes = CountCrashes(cluster);
   Require(crashes <= kAllowedCrashes,
@@ -86,6 +96,16 @@
   RequireFewCrashes(cluster);
 }
 
+// Guards against a log that each instance fills with the same block.
+Test(poison_request, block_is_logged_once) {
+  GatewayCluster cluster({});
+  cluster.WaitUntilReady(Clock::now() + seconds(15));
+  const int refused = RepeatPoison(cluster, false, seconds(8));
+  Require(refused > 20, "the request is not refused at all instances");
+  const std::size_t blocks = CountLoggedBlocks(cluster);
+  Require(blocks == 1, std::to_string(blocks) + " blocks are logged");
+}
+
 // Guards against an instance that knows nothing of earlier crashes after its
 // start, and against a new leader that has forgotten them.
 Test(poison_request, restarted_instances_learn_of_it) {
--- a/tests/process/support/gateway_cluster.h
+++ b/tests/process/support/gateway_cluster.h
@@ -114,6 +114,8 @@
 
   // The events that the targets have written, one JSON object per line.
   std::vector<std::string> Events() const;
+  // Returns the lines of the gateway's event log so far.
+  std::vector<std::string> LogLines(std::size_t gateway) const;
   // Directory of the settings, events and logs of the processes.
   const TemporaryDirectory& directory() const { return m_directory; }
 
--- a/tests/unit/poison_request_detector_test.cc
+++ b/tests/unit/poison_request_detector_test.cc
@@ -129,6 +129,18 @@
       detector.IsBlocked(kStart + Detector::kInitialBlockTime, kRequest));
 }
 
+// Guards against one loss that counts several times, since the delay of its
+// reports differs by more than the target was at work.
+Test(poison_request_detector, delayed_reports_of_a_loss_count_once) {
+  Detector leader;
+  for (int i = 0; i < 6; ++i) {
+    const MonotonicTime sent_at = kStart + Milliseconds(10 * i);
+    cr_assert_not(leader.OnTargetLost(
+        kStart + Milliseconds(2000 * i),
+        {kRequest, sent_at, sent_at + Milliseconds(1), /*number=*/7}));
+  }
+}
+
 // Guards against a request that is blocked anew, without end, since instances
 // that have not heard of a response report its earlier losses and its block.
 Test(poison_request_detector, response_refutes_later_reports_of_old_losses) {
