Tests: a reported load fades until it is forgotten

Cause: an_instance_that_hears_nothing_sends_as_before asserted a load of 9 after one second; it was written while loads kept their weight for 1.5 s.

Change: the test asserts the whole load at first, half of it at half of the lifetime and none at its end.

--- a/tests/unit/target_load_test.cc
+++ b/tests/unit/target_load_test.cc
@@ -149,14 +149,17 @@
   RoutingState state;
   table.OnSummary(kStart, {{"t0", 9, 3, milliseconds(0), 4}});
   state.SetKeyAdmissions(kStart, {{"service", {{7, 0.25}}}});
-  MonotonicTime now = kStart + milliseconds(1000);
-  cr_assert(table.Find(now, "t0")->outstanding == 9);
+  cr_assert(table.Find(kStart, "t0")->outstanding == 9);
+  // The load fades until it is forgotten.
+  MonotonicTime now = kStart + TargetLoadTable::kReportLifetime / 2;
+  cr_assert(table.Find(now, "t0")->outstanding == 4.5);
+  now = kStart + TargetLoadTable::kReportLifetime;
+  cr_assert(!table.Find(now, "t0")->outstanding);
+  now = kStart + milliseconds(1000);
   cr_assert(state.AdmittedFraction(now, "service", 7) == 0.25);
   cr_assert(state.AdmittedFraction(now, "service", 8) == 1);
   now = kStart + milliseconds(1201);
   cr_assert(state.AdmittedFraction(now, "service", 7) == 1);
-  now = kStart + TargetLoadTable::kReportLifetime;
-  cr_assert(!table.Find(now, "t0")->outstanding);
   now = kStart + TargetLoadTable::kSummaryLifetime;
   cr_assert(table.Find(now, "t0")->relative_time == 1);
   // A reply of a leader lifts what an earlier one has said.
