Log: what a leader knows of the grants before it

The event `lead` has `wait_ms` and is written for each term, also when the same instance leads again; the event `leader_replaced` shows the report of a former leader with the wait before and after it.

--- a/src/coordination/key_leader.cc
+++ b/src/coordination/key_leader.cc
@@ -189,6 +189,13 @@
                                          now);
 }
 
+Milliseconds KeyLeader::FormerGrantTime(MonotonicTime now) const {
+  if (!IsNamedLeader() || now >= m_former_grants_until) {
+    return Milliseconds(0);
+  }
+  return std::chrono::ceil<Milliseconds>(m_former_grants_until - now);
+}
+
 void KeyLeader::OnLeaderReplaced(MonotonicTime now,
                                  const LeaderReplaced& replaced) {
   // The message may arrive before the response to this leader's append.
--- a/src/coordination/key_leader.h
+++ b/src/coordination/key_leader.h
@@ -172,6 +172,10 @@
   // successor.
   Milliseconds RemainingGrantTime(MonotonicTime now) const;
 
+  // Upper bound of the time from `now` until all grants of the leaders before
+  // this one have expired; zero if they have, or on other instances.
+  Milliseconds FormerGrantTime(MonotonicTime now) const;
+
   // Call when the predecessor of this leader reports the time until its last
   // grant expires; shortens the wait before keys change owners.
   void OnLeaderReplaced(MonotonicTime now, const LeaderReplaced& replaced);
--- a/src/transport/gateway/gateway_control.h
+++ b/src/transport/gateway/gateway_control.h
@@ -527,7 +527,7 @@
       }
     } else if (const auto* replaced =
                    std::get_if<LeaderReplaced>(&message.content)) {
-      m_key_leader.OnLeaderReplaced(now, *replaced);
+      OnLeaderReplaced(now, message.from, *replaced);
     } else if (const auto* outdated =
                    std::get_if<LeaderTableOutdated>(&message.content)) {
       m_log.Write("keys_outdated", {{"known_by", message.from}});
@@ -540,6 +540,22 @@
            std::to_string(endpoint.port());
   }
 
+  // The report of a former leader about its grants.
+  void OnLeaderReplaced(MonotonicTime now,
+                        const InstanceId& from,
+                        const LeaderReplaced& replaced) {
+    const Milliseconds wait_before = m_key_leader.FormerGrantTime(now);
+    m_key_leader.OnLeaderReplaced(now, replaced);
+    m_log.Write(
+        "leader_replaced",
+        {{"former_lead", from},
+         {"term", std::to_string(replaced.term)},
+         {"grants_ms", std::to_string(replaced.remaining_grant_time.count())},
+         {"wait_before_ms", std::to_string(wait_before.count())},
+         {"wait_ms",
+          std::to_string(m_key_leader.FormerGrantTime(now).count())}});
+  }
+
   // Other instances listen at the address from which they send messages.
   void RecordForwarder(MonotonicTime now,
                        const LeaderLink::Endpoint& sender,
@@ -1099,18 +1115,22 @@
   // Adopts a key table that was read from the log or appended to it.
   void ApplyKeys(MonotonicTime now, KeyTable read_table) {
     const bool was_named = m_key_leader.IsNamedLeader();
+    const std::uint64_t former_term = m_key_leader.table().term;
     const LogEra former_era = m_key_leader.table().era;
     const Milliseconds longest_grant = m_key_leader.RemainingGrantTime(now);
     m_key_leader.OnTable(now, std::move(read_table));
     const KeyTable& table = m_key_leader.table();
     const bool new_leader = table.leader != m_state.keys().leader;
-    if (new_leader || table.era != former_era) {
-      m_log.Write("lead",
-                  {{"lead", table.leader},
-                   {"term", std::to_string(table.term)},
-                   {"fence", std::to_string(table.fencing_token)},
-                   {"era", std::to_string(table.era)},
-                   {"owners", table.owners_unknown ? "unknown" : "known"}});
+    if (new_leader || table.term != former_term || table.era != former_era) {
+      m_log.Write(
+          "lead",
+          {{"lead", table.leader},
+           {"term", std::to_string(table.term)},
+           {"fence", std::to_string(table.fencing_token)},
+           {"era", std::to_string(table.era)},
+           {"owners", table.owners_unknown ? "unknown" : "known"},
+           {"wait_ms",
+            std::to_string(m_key_leader.FormerGrantTime(now).count())}});
     }
     if (m_key_leader.KnowsNewerAssignments()) {
       m_link.Send(table.leader_address,
