Key leader: a term belongs to the process that began it

Cause: a process that finds its instance named in the key table went on in the term of its former process. It knows none of the grants of that process, and took the report of the leader before it, which belongs to the same term, for one that covers all grants.

Change: each process draws an incarnation, which the key table names with the leader's instance. A process that finds a former one of its instance named does not lead; it begins a new term at once, by an append on condition that nothing came in between. So a report for the former term does not apply to it, whatever tables it reads first. A process that has led before does not do so, or two processes of one instance would replace each other without end. While that append is pending, reports are not declined, since another instance would take over. Earlier builds ignore the field, and tables of theirs name no process.

The restarted leader's wait is the same as before, counted from its append.

--- a/src/coordination/key_leader.cc
+++ b/src/coordination/key_leader.cc
@@ -60,11 +60,13 @@
   return merged;
 }
 
-bool KeyLeader::ShouldRestoreTable(MonotonicTime now) const {
+bool KeyLeader::ShouldTakeOver(MonotonicTime now) const {
   if (m_table.era == m_log_era) {
-    return m_lost_table.has_value();
+    const bool succeeds_former_process =
+        IsInstanceNamed() && !IsNamedLeader() && !m_has_led;
+    return m_lost_table.has_value() || succeeds_former_process;
   }
-  return IsNamedLeader() &&
+  return IsInstanceNamed() &&
          (m_knows_lost_tables || now >= m_log_era_began_at + kRestoreTime);
 }
 
@@ -90,7 +92,7 @@
   m_superseded = false;
   m_outdated = m_outdated && table.term == m_table.term;
   const bool same_era = known_in_era == (table.era == m_log_era);
-  const bool was_leader = m_has_table && same_era && m_table.leader == m_self;
+  const bool was_leader = m_has_table && same_era && IsNamedLeader();
   const KeyTable old = std::exchange(m_table, std::move(table));
   m_has_table = true;
   if (!IsNamedLeader()) {
@@ -100,18 +102,17 @@
     m_next_probe.clear();
     return;
   }
+  m_has_led = true;
   if (!was_leader) {
-    if (old.leader == m_self && m_knows_lost_tables) {
+    if (old.leader_incarnation == m_incarnation && m_knows_lost_tables) {
       BeginEraAsFormerLeader();
     } else {
       m_ranges.clear();
     }
-    // The same bound applies to an instance that finds itself named when it
-    // starts: its previous process may have taken over just before it
-    // terminated.
     m_former_grants_until = now + kLeaderLeaseDuration + kOrderTimeout +
                             LongestElapsedTime(kLongGrantDuration);
-    // After a restore of the log there may have been other leaders.
+    // This process began the term, by an append on condition that `old` is the
+    // newest version. After a restore of the log there may have been others.
     m_knows_predecessor = old.era == m_table.era;
     if (m_knows_predecessor && m_predecessor_term == m_table.term) {
       m_former_grants_until =
@@ -591,6 +592,7 @@
     next.owners_unknown = false;
   }
   next.leader = m_self;
+  next.leader_incarnation = m_incarnation;
   next.leader_address = m_address;
   next.term = std::max(next.term, EraBase(m_log_era)) + 1;
   next.fencing_token = std::max(next.fencing_token, EraBase(m_log_era));
--- a/src/coordination/key_leader.h
+++ b/src/coordination/key_leader.h
@@ -76,6 +76,10 @@
 // of the log, of the target list and of its orders, but only the leader's
 // returns orders. It does no I/O and takes the time from its caller.
 //
+// A term belongs to the process that began it. Another process of the same
+// instance knows nothing of the grants that it sent, so it begins a new term
+// before it acts as the leader.
+//
 // A key has at most one owner at any moment, because:
 // - Each version of the table is appended on condition that the topic still
 //   ends at the version that it was made from, and tokens only grow from
@@ -155,10 +159,13 @@
   // service are assigned for the first time, so that no target is left out.
   static constexpr Milliseconds kTargetListSettleTime{1200};
 
-  // `address` ("address:port") is where this instance receives load reports
-  // while it is the leader.
-  KeyLeader(InstanceId self, std::string address)
-      : m_self(std::move(self)), m_address(std::move(address)) {}
+  // `incarnation`, not zero, distinguishes this process from others of the
+  // instance `self`. `address` ("address:port") is where it receives load
+  // reports while it is the leader.
+  KeyLeader(InstanceId self, Incarnation incarnation, std::string address)
+      : m_self(std::move(self)),
+        m_incarnation(incarnation),
+        m_address(std::move(address)) {}
 
   // How long the former leader has, after the log was restored, to append the
   // first version of the new era before an instance that knows less does.
@@ -242,10 +249,11 @@
   // leader. A leader whose lease has expired gets nothing.
   std::optional<KeyTable> NextTable(MonotonicTime now, bool take_over);
 
-  // Whether this instance should become the leader because the log was
-  // restored: it was the leader before, or it knows more assignments than the
-  // leader.
-  bool ShouldRestoreTable(MonotonicTime now) const;
+  // Whether this instance should become the leader although the leader has not
+  // failed: the table names a former process of this instance, or the log was
+  // restored and this instance was the leader before or knows more assignments
+  // than the leader.
+  bool ShouldTakeOver(MonotonicTime now) const;
   // Whether this instance knows newer assignments than the newest table.
   bool KnowsNewerAssignments() const { return m_lost_table.has_value(); }
 
@@ -260,9 +268,11 @@
 
   // The newest version of the table that is known.
   const KeyTable& table() const { return m_table; }
-  // Whether the newest table names this instance as the leader.
-  bool IsNamedLeader() const { return m_table.leader == m_self; }
-  // Whether the newest table names this instance, is of the present era of the
+  // Whether the newest table names this process as the leader.
+  bool IsNamedLeader() const {
+    return IsInstanceNamed() && m_table.leader_incarnation == m_incarnation;
+  }
+  // Whether the newest table names this process, is of the present era of the
   // log, and the leader's lease has not expired.
   bool IsLeader(MonotonicTime now) const {
     return IsNamedLeader() && m_table.era == m_log_era &&
@@ -305,6 +315,9 @@
     std::string handover;
   };
 
+  // Whether the newest table names this instance, be it this process or another
+  // one.
+  bool IsInstanceNamed() const { return m_table.leader == m_self; }
   const ListedTarget* FindKnownTarget(std::string_view target) const;
   bool HasTerminated(std::string_view target) const;
   // Whether the owner of the range may still hold it.
@@ -402,6 +415,7 @@
       std::span<const KeyAssignment> ranges) const;
 
   InstanceId m_self;
+  Incarnation m_incarnation;
   std::string m_address;
   KeyTable m_table;
   bool m_has_table = false;
@@ -441,6 +455,9 @@
   // The log ends with a version of an earlier era, appended after the newest
   // one by an instance that did not know yet that the log was restored.
   bool m_superseded = false;
+  // This process has been the leader, so other processes of the instance that
+  // lead later are not its former ones.
+  bool m_has_led = false;
   // From the predecessor's report: the term of its successor, and when the last
   // grant of the predecessor expires.
   std::uint64_t m_predecessor_term = 0;
--- a/src/protocol/key_table_codec.cc
+++ b/src/protocol/key_table_codec.cc
@@ -114,7 +114,10 @@
   table.leader_address = std::string(object.at("lead_address").as_string());
   table.term = object.at("term").to_number<std::uint64_t>();
   table.fencing_token = object.at("fence").to_number<std::uint64_t>();
-  // Earlier builds do not write the era.
+  // Earlier builds do not write the incarnation and the era.
+  if (const json::value* incarnation = object.if_contains("lead_incarnation")) {
+    table.leader_incarnation = incarnation->to_number<Incarnation>();
+  }
   if (const json::value* era = object.if_contains("era")) {
     table.era = era->to_number<LogEra>();
   }
@@ -153,6 +156,9 @@
   json::object object;
   object["lead"] = table.leader;
   object["lead_address"] = table.leader_address;
+  if (table.leader_incarnation != 0) {
+    object["lead_incarnation"] = table.leader_incarnation;
+  }
   object["term"] = table.term;
   object["fence"] = table.fencing_token;
   object["era"] = table.era;
--- a/src/state/key_table.h
+++ b/src/state/key_table.h
@@ -56,7 +56,11 @@
 struct KeyTable {
   // The instance that sends the orders to the targets; see KeyLeader.
   InstanceId leader;
-  // Number of changes of the leader.
+  // The process of that instance that began the term, the only one that may act
+  // as the leader; zero if an earlier build has written the table.
+  Incarnation leader_incarnation = 0;
+  // Number of changes of the leader, also to another process of the same
+  // instance.
   std::uint64_t term = 0;
   // "address:port" where the leader receives load reports.
   std::string leader_address;
--- a/src/transport/gateway/gateway_control.h
+++ b/src/transport/gateway/gateway_control.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <utility>
@@ -106,7 +107,7 @@
         m_services(services),
         m_instance(settings.instance),
         m_leader_failure_detector(seed),
-        m_key_leader(settings.instance, settings.peer_address),
+        m_key_leader(settings.instance, m_incarnation, settings.peer_address),
         m_forwarder_planner(seed),
         m_append_log(platform.NewLog()),
         m_leader_timer(m_executor),
@@ -406,6 +407,12 @@
   // and answer the next report.
   static constexpr Milliseconds kLeaderConfirmTime{1500};
 
+  // Returns a random number other than zero.
+  static Incarnation DrawIncarnation() {
+    std::random_device device;
+    return std::uniform_int_distribution<Incarnation>(1)(device);
+  }
+
   static MonotonicTime Now() { return std::chrono::steady_clock::now(); }
 
   // Runs `function`, the handling of one input from `source`. An unexpected
@@ -425,8 +432,9 @@
                      const LeaderMessage& message) {
     const MonotonicTime now = Now();
     if (const auto* report = std::get_if<LeaderReport>(&message.content)) {
-      if (!m_has_keys) {
-        // This instance does not know yet whether it is the leader.
+      if (!m_has_keys || (m_appending && !m_key_leader.IsNamedLeader())) {
+        // This instance does not know yet whether it is the leader. It may have
+        // been before its process started, and be taking over again.
         return;
       }
       if (m_key_leader.IsNamedLeader()) {
@@ -1120,11 +1128,14 @@
     const Milliseconds longest_grant = m_key_leader.RemainingGrantTime(now);
     m_key_leader.OnTable(now, std::move(read_table));
     const KeyTable& table = m_key_leader.table();
-    const bool new_leader = table.leader != m_state.keys().leader;
+    const bool new_leader =
+        table.leader != m_state.keys().leader ||
+        table.leader_incarnation != m_state.keys().leader_incarnation;
     if (new_leader || table.term != former_term || table.era != former_era) {
       m_log.Write(
           "lead",
           {{"lead", table.leader},
+           {"incarnation", std::to_string(table.leader_incarnation)},
            {"term", std::to_string(table.term)},
            {"fence", std::to_string(table.fencing_token)},
            {"era", std::to_string(table.era)},
@@ -1138,7 +1149,7 @@
     }
     m_state.SetKeys(table);
     m_leader_failure_detector.OnLeader(table.leader);
-    if (was_named && table.leader != m_instance && table.era == former_era) {
+    if (was_named && !m_key_leader.IsNamedLeader() && table.era == former_era) {
       m_link.Send(table.leader_address,
                   {m_instance, LeaderReplaced{table.term, longest_grant}});
     }
@@ -1199,7 +1210,7 @@
       }
       if (m_has_keys && !m_appending) {
         const bool take_over = HasKeyedService() && !m_draining &&
-                               (m_key_leader.ShouldRestoreTable(Now()) ||
+                               (m_key_leader.ShouldTakeOver(Now()) ||
                                 (m_leader_failure_detector.ShouldTakeOver() &&
                                  CanTakeOverLeadership()));
         if (take_over) {
@@ -1342,6 +1353,7 @@
   PoisonRequestDetector& m_poison_requests;
   GatewayServices& m_services;
   InstanceId m_instance;
+  Incarnation m_incarnation = DrawIncarnation();
   LeaderFailureDetector m_leader_failure_detector;
   TargetRegistry m_registry;
   KeyLeader m_key_leader;
--- a/tests/process/decoder_fuzz_test.cc
+++ b/tests/process/decoder_fuzz_test.cc
@@ -141,6 +141,7 @@
 KeyTable Table() {
   KeyTable table;
   table.leader = "edge-1";
+  table.leader_incarnation = 1ULL << 63;
   table.term = 3;
   table.leader_address = "10.1.0.1:7620";
   table.fencing_token = 9;
--- a/tests/unit/key_codec_test.cc
+++ b/tests/unit/key_codec_test.cc
@@ -11,6 +11,7 @@
 KeyTable MakeTable() {
   KeyTable table;
   table.leader = "entry-1";
+  table.leader_incarnation = ~Incarnation{0};
   table.leader_address = "127.0.0.1:7000";
   table.term = 3;
   table.fencing_token = 9;
@@ -27,6 +28,20 @@
   cr_assert(decoded.value() == MakeTable());
 }
 
+// Guards against a wrong or no incarnation in the tables of earlier builds.
+Test(key_table_codec, incarnation_of_the_leader_is_optional) {
+  KeyTable table = MakeTable();
+  table.leader_incarnation = 0;
+  const std::string text = EncodeKeyTable(table);
+  cr_assert(text.find("lead_incarnation") == std::string::npos);
+  cr_assert(DecodeKeyTable(text).value() == table);
+  for (const std::string value : {"-1", "1.5", "\"7\"", "null"}) {
+    const std::string invalid =
+        "{\"lead_incarnation\":" + value + "," + text.substr(1);
+    cr_assert_not(DecodeKeyTable(invalid).has_value(), "%s", value.c_str());
+  }
+}
+
 // Whether a table with these ranges, in JSON, is decoded.
 bool IsValidTable(const std::string& ranges) {
   return DecodeKeyTable(
--- a/tests/unit/key_leader_test.cc
+++ b/tests/unit/key_leader_test.cc
@@ -13,7 +13,7 @@
 // targets.
 class LeaderFixture {
  public:
-  LeaderFixture() : m_leader("entry-1", "127.0.0.1:7000") {
+  LeaderFixture() : m_leader("entry-1", 1, "127.0.0.1:7000") {
     m_leader.SetKeyedServices({{kService, 0}});
   }
 
@@ -309,6 +309,7 @@
   fixture.BecomeLeaderOfTwoTargets();
   KeyTable other = fixture.leader().table();
   other.leader = "entry-2";
+  other.leader_incarnation = 2;
   fixture.leader().OnTable(fixture.now(), other);
   cr_assert(fixture.TakeDueOrders().empty());
   fixture.Advance(Milliseconds(100));
@@ -594,7 +595,7 @@
   fixture.BecomeLeaderOfTwoTargets();
   fixture.leader().OnLogEra(fixture.now(), 2, true);
   cr_assert(fixture.TakeDueOrders().empty());
-  cr_assert(fixture.leader().ShouldRestoreTable(fixture.now()));
+  cr_assert(fixture.leader().ShouldTakeOver(fixture.now()));
   cr_assert(fixture.AppendNextTable(true));
   fixture.leader().OnTableOutdated(fixture.leader().table().term);
   for (Milliseconds time{0}; time < Milliseconds(10000);
--- a/tests/unit/support/key_owner_simulation.h
+++ b/tests/unit/support/key_owner_simulation.h
@@ -247,7 +247,8 @@
     instance.generation = generation;
     instance.log_cut_until = cut_until;
     instance.id = "entry-" + std::to_string(i);
-    instance.leader = std::make_unique<KeyLeader>(instance.id, "address");
+    instance.leader =
+        std::make_unique<KeyLeader>(instance.id, ++m_process_starts, "address");
     instance.leader->SetKeyedServices({{kService, 0}});
     instance.alive = true;
     instance.leader_seen_at = m_now;
@@ -394,7 +395,7 @@
     const bool log_reachable =
         m_now < instance.cursor.read_at() + kMaxReadAge &&
         m_now >= instance.recovered_at + KeyLeader::kRestoreTime;
-    return instance.leader->ShouldRestoreTable(m_now) ||
+    return instance.leader->ShouldTakeOver(m_now) ||
            (log_reachable &&
             m_now >= instance.leader_seen_at + instance.take_over_delay);
   }
@@ -590,6 +591,7 @@
   std::array<Instance, kInstances> m_instances;
   TargetList m_target_list;
   std::int64_t m_target_starts = 0;
+  Incarnation m_process_starts = 0;
   std::array<std::pair<TargetId, FencingToken>, kKeys> m_greatest_tokens;
   std::vector<std::string> m_violations;
   int m_lapsed_leases = 0;
