Key leader: only the predecessor's report shortens the wait for earlier grants

Two targets hold a key when a leader that was suspended reports the end of its grants to one that is not its next successor.

Cause: a report counted if it named the receiver's term, whoever sent it. A leader that missed the versions of the leaders in between names the newest term, and knows none of their grants.

Change: a report has the incarnation of its sender. A leader that takes over remembers which process led the version from which its own was made, and takes a report only from that one: since a term belongs to one process and versions form one sequence, that process' grants and those before it are all there are. Reports of earlier builds name no process and are not used, so keys of a lost target may wait longer while both builds run.

The property test now has relays that lag, compaction, messages that arrive late at another process of the instance, processes of one instance at two addresses, targets that leave the list alive, and a log without eras.

--- a/src/coordination/key_leader.cc
+++ b/src/coordination/key_leader.cc
@@ -113,11 +113,8 @@
                             LongestElapsedTime(kLongGrantDuration);
     // This process began the term, by an append on condition that `old` is the
     // newest version. After a restore of the log there may have been others.
-    m_knows_predecessor = old.era == m_table.era;
-    if (m_knows_predecessor && m_predecessor_term == m_table.term) {
-      m_former_grants_until =
-          std::min(m_former_grants_until, m_predecessor_grants_until);
-    }
+    m_predecessor = old.era == m_table.era ? old.leader_incarnation : 0;
+    ApplyPredecessorReport();
   }
   std::map<RangeId, RangeState> ranges;
   for (const auto& [service, assignments] : m_table.services) {
@@ -199,12 +196,24 @@
 
 void KeyLeader::OnLeaderReplaced(MonotonicTime now,
                                  const LeaderReplaced& replaced) {
-  // The message may arrive before the response to this leader's append.
-  m_predecessor_term = replaced.term;
-  m_predecessor_grants_until = now + replaced.remaining_grant_time;
-  if (IsNamedLeader() && m_knows_predecessor && m_table.term == replaced.term) {
+  const Incarnation predecessor =
+      IsNamedLeader() ? m_predecessor : m_table.leader_incarnation;
+  if (replaced.incarnation == 0 || replaced.incarnation != predecessor) {
+    // Leaders that the sender does not know of may have sent grants since.
+    return;
+  }
+  m_predecessor_report = {replaced.term, replaced.incarnation,
+                          now + replaced.remaining_grant_time};
+  if (IsNamedLeader()) {
+    ApplyPredecessorReport();
+  }
+}
+
+void KeyLeader::ApplyPredecessorReport() {
+  if (m_predecessor != 0 && m_predecessor_report.incarnation == m_predecessor &&
+      m_predecessor_report.term == m_table.term) {
     m_former_grants_until =
-        std::min(m_former_grants_until, m_predecessor_grants_until);
+        std::min(m_former_grants_until, m_predecessor_report.grants_until);
   }
 }
 
--- a/src/coordination/key_leader.h
+++ b/src/coordination/key_leader.h
@@ -87,7 +87,8 @@
 // - The leader grants keys to a new owner only when the previous one has
 //   answered a release that carries the new token, when its process has
 //   restarted or terminated, or when every grant that any leader can have sent
-//   it has expired.
+//   it has expired. What the predecessor reports of that shortens the wait only
+//   if the table that the leader's term began with names that very process.
 // - A leader sends orders only for kLeaderLeaseDuration after it sent the last
 //   read or append by which the log confirmed it; see OnConfirmed(). A new
 //   leader assumes that its predecessor sends grants until kLeaderLeaseDuration
@@ -183,8 +184,9 @@
   // this one have expired; zero if they have, or on other instances.
   Milliseconds FormerGrantTime(MonotonicTime now) const;
 
-  // Call when the predecessor of this leader reports the time until its last
-  // grant expires; shortens the wait before keys change owners.
+  // Call when a former leader reports the time until its last grant expires. If
+  // it is the predecessor of this leader, that shortens the wait before keys
+  // change owners.
   void OnLeaderReplaced(MonotonicTime now, const LeaderReplaced& replaced);
 
   // Call before the first OnTable(), and again when the log was restored.
@@ -280,6 +282,14 @@
   }
 
  private:
+  // A report of a former leader; see LeaderReplaced.
+  struct PredecessorReport {
+    std::uint64_t term = 0;
+    Incarnation incarnation = 0;
+    // When the last grant of the sender expires.
+    MonotonicTime grants_until;
+  };
+
   // A rate limit that a target has named.
   struct RateLimit {
     // Requests per second.
@@ -318,6 +328,8 @@
   // Whether the newest table names this instance, be it this process or another
   // one.
   bool IsInstanceNamed() const { return m_table.leader == m_self; }
+  // Takes over the wait from a report of the predecessor for this term.
+  void ApplyPredecessorReport();
   const ListedTarget* FindKnownTarget(std::string_view target) const;
   bool HasTerminated(std::string_view target) const;
   // Whether the owner of the range may still hold it.
@@ -458,13 +470,12 @@
   // This process has been the leader, so other processes of the instance that
   // lead later are not its former ones.
   bool m_has_led = false;
-  // From the predecessor's report: the term of its successor, and when the last
-  // grant of the predecessor expires.
-  std::uint64_t m_predecessor_term = 0;
-  // The predecessor was the leader of the version before, so its report tells
-  // of all grants.
-  bool m_knows_predecessor = true;
-  MonotonicTime m_predecessor_grants_until;
+  // The leader of the version that this leader's term was made from; zero if it
+  // is not known.
+  Incarnation m_predecessor = 0;
+  // The last report of the leader of the newest table, which may arrive before
+  // the response to the append that replaces it, or of the predecessor.
+  PredecessorReport m_predecessor_report;
   // Targets whose process has terminated, with the start time of that process.
   std::map<TargetId, std::int64_t, std::less<>> m_terminated;
 };
--- a/src/coordination/leader_message.h
+++ b/src/coordination/leader_message.h
@@ -91,9 +91,11 @@
 struct LeaderReplaced {
   // Term of the successor; see KeyTable::term.
   std::uint64_t term = 0;
-  // Upper bound of the time until all grants of the replaced leader have
-  // expired.
+  // Upper bound of the time until all grants of the replaced leader, and of the
+  // leaders before it, have expired.
   Milliseconds remaining_grant_time{0};
+  // The replaced leader's process; zero from earlier builds.
+  Incarnation incarnation = 0;
 };
 
 // Message to a leader that appended the first table after a restore of the log:
--- a/src/protocol/lead_message.capnp
+++ b/src/protocol/lead_message.capnp
@@ -162,6 +162,8 @@
   # Longest time for which grants of the previous leader remain valid, in
   # milliseconds.
   holdsMs @1 :UInt32;
+  # Incarnation of the previous leader; zero from earlier builds.
+  incarnation @2 :UInt64;
 }
 
 struct LoadReport {
--- a/src/protocol/lead_message.capnp.h
+++ b/src/protocol/lead_message.capnp.h
@@ -241,7 +241,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(eef3dcc479991b0e, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(eef3dcc479991b0e, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1629,6 +1629,8 @@
 
   inline  ::uint32_t getHoldsMs() const;
 
+  inline  ::uint64_t getIncarnation() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1663,6 +1665,9 @@
   inline  ::uint32_t getHoldsMs();
   inline void setHoldsMs( ::uint32_t value);
 
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3601,6 +3606,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Replaced::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Replaced::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Replaced::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool LoadReport::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/protocol/leader_message_codec.cc
+++ b/src/protocol/leader_message_codec.cc
@@ -297,6 +297,7 @@
     builder.setTerm(replaced.term);
     builder.setHoldsMs(
         static_cast<std::uint32_t>(replaced.remaining_grant_time.count()));
+    builder.setIncarnation(replaced.incarnation);
   }
 };
 
@@ -373,7 +374,8 @@
     case wire::LeadMessage::REPLACED:
       message.content =
           LeaderReplaced{reader.getReplaced().getTerm(),
-                         Milliseconds(reader.getReplaced().getHoldsMs())};
+                         Milliseconds(reader.getReplaced().getHoldsMs()),
+                         reader.getReplaced().getIncarnation()};
       return message;
   }
   return Fail(ErrorCode::kCorrupt, "lead message: unknown kind of content");
--- a/src/transport/gateway/gateway_control.h
+++ b/src/transport/gateway/gateway_control.h
@@ -1151,7 +1151,8 @@
     m_leader_failure_detector.OnLeader(table.leader);
     if (was_named && !m_key_leader.IsNamedLeader() && table.era == former_era) {
       m_link.Send(table.leader_address,
-                  {m_instance, LeaderReplaced{table.term, longest_grant}});
+                  {m_instance,
+                   LeaderReplaced{table.term, longest_grant, m_incarnation}});
     }
     if (m_key_leader.IsNamedLeader()) {
       SetRelay(m_peer_address);
--- a/tests/process/decoder_fuzz_test.cc
+++ b/tests/process/decoder_fuzz_test.cc
@@ -160,7 +160,7 @@
            {"b", LeaderServing{"10.1.0.1:7620", 200, 8}},
            {"c", LeaderMovesCompleted{{1, 2, 3}}},
            {"d", LeaderNotServing{}},
-           {"e", LeaderReplaced{4, Milliseconds(900)}},
+           {"e", LeaderReplaced{4, Milliseconds(900), 1ULL << 63}},
            {"f", LeaderPermitRequest{7, "target", 3.5}},
            {"g", LeaderPermitResponse{7, false, Milliseconds(90)}},
            {"h", LeaderTableOutdated{5}},
--- a/tests/unit/key_codec_test.cc
+++ b/tests/unit/key_codec_test.cc
@@ -89,13 +89,14 @@
 }
 
 Test(leader_message_codec, replaced_round_trip) {
-  const std::string bytes =
-      EncodeLeaderMessage({"entry-1", LeaderReplaced{4, Milliseconds(4080)}});
+  const std::string bytes = EncodeLeaderMessage(
+      {"entry-1", LeaderReplaced{4, Milliseconds(4080), 7}});
   const auto decoded = DecodeLeaderMessage({bytes.data(), bytes.size()});
   cr_assert(decoded.has_value());
   const auto& replaced = std::get<LeaderReplaced>(decoded.value().content);
   cr_assert_eq(replaced.term, 4);
   cr_assert(replaced.remaining_grant_time == Milliseconds(4080));
+  cr_assert_eq(replaced.incarnation, 7);
 }
 
 Test(leader_message_codec, moves_completed_round_trip) {
--- a/tests/unit/key_leader_succession_test.cc
+++ b/tests/unit/key_leader_succession_test.cc
@@ -71,8 +71,10 @@
     cr_assert(next.has_value());
     return *std::move(next);
   }
-  void Receive(std::uint64_t term, Milliseconds remaining_grant_time) {
-    m_leader.OnLeaderReplaced(m_now, {term, remaining_grant_time});
+  void Receive(std::uint64_t term,
+               Incarnation incarnation,
+               Milliseconds remaining_grant_time) {
+    m_leader.OnLeaderReplaced(m_now, {term, remaining_grant_time, incarnation});
   }
 
   // Runs this process with a responsive log and target, for at most `time`.
@@ -106,9 +108,10 @@
 // Requires that the report of "entry-0", the leader before the former process
 // of this instance, does not end the wait for the grants of that process.
 void RequireLateReportIgnored(StartedProcess& process) {
-  process.Receive(2, Milliseconds(200));
+  process.Receive(2, kFirstLeader, Milliseconds(200));
   cr_assert_eq(process.TimeToReassign(Milliseconds(500)).count(), 500);
-  process.Receive(2, Milliseconds(0));
+  process.Receive(2, kFirstLeader, Milliseconds(0));
+  process.Receive(process.leader().table().term, kFirstLeader, Milliseconds(0));
   const Milliseconds rest = kLongestWait - Milliseconds(500);
   cr_assert_eq(process.TimeToReassign(rest).count(), rest.count(),
                "keys were granted before the former process' grants expired");
@@ -138,7 +141,7 @@
 Test(key_leader_succession, early_report_does_not_cover_the_former_process) {
   StartedProcess process;
   process.Read(FirstTable());
-  process.Receive(2, Milliseconds(0));
+  process.Receive(2, kFirstLeader, Milliseconds(0));
   process.Read(TakenOver(FirstTable(), kSelf, kFormerProcess));
   RequireLateReportIgnored(process);
 }
@@ -154,13 +157,36 @@
   RequireLateReportIgnored(process);
 }
 
+// Guards against two owners of a key: a leader that was suspended while two
+// others took over one after the other reports to the second.
+Test(key_leader_succession, late_report_does_not_cover_a_later_leader) {
+  StartedProcess process;
+  process.Read(TakenOver(FirstTable(), "entry-2", 301));
+  process.Read(process.NextTable());
+  cr_assert(process.leader().IsNamedLeader());
+  RequireLateReportIgnored(process);
+}
+
+// Guards against two owners of a key: earlier builds do not say which process
+// reports.
+Test(key_leader_succession, report_without_a_process_is_ignored) {
+  StartedProcess process;
+  KeyTable table = FirstTable();
+  table.leader_incarnation = 0;
+  process.Read(table);
+  process.Read(process.NextTable());
+  process.Receive(2, 0, Milliseconds(0));
+  cr_assert_eq(process.TimeToReassign(kLongestWait).count(),
+               kLongestWait.count());
+}
+
 // Guards against a longer time without an owner than necessary: the report of
 // the predecessor covers all grants.
 Test(key_leader_succession, report_of_the_predecessor_ends_the_wait) {
   StartedProcess process;
   process.Read(FirstTable());
   process.Read(process.NextTable());
-  process.Receive(2, Milliseconds(1000));
+  process.Receive(2, kFirstLeader, Milliseconds(1000));
   const Milliseconds time = process.TimeToReassign(kLongestWait);
   cr_assert_geq(time.count(), 900);
   cr_assert_leq(time.count(), 1200);
@@ -172,7 +198,7 @@
   StartedProcess process;
   process.Read(FirstTable());
   const KeyTable next = process.NextTable();
-  process.Receive(2, Milliseconds(1000));
+  process.Receive(2, kFirstLeader, Milliseconds(1000));
   process.Read(next);
   const Milliseconds time = process.TimeToReassign(kLongestWait);
   cr_assert_geq(time.count(), 900);
--- a/tests/unit/key_owner_restore_test.cc
+++ b/tests/unit/key_owner_restore_test.cc
@@ -6,8 +6,8 @@
 
 #include <criterion/criterion.h>
 
-// The log comes back from an older copy while instances, targets and links
-// fail.
+// The log comes back from an older copy, and leaders are replaced, while
+// instances, targets and links fail.
 
 namespace snipehall::test {
 namespace {
@@ -28,13 +28,31 @@
   return Milliseconds(simulation.Draw(low, high));
 }
 
-void InjectFault(KeyOwnerSimulation& simulation) {
+// Suspends the leader, lets its successor's process start again, and resumes
+// it: it then reports to a process that does not know what its former one
+// granted. Targets disappear from the list meanwhile.
+void ReplaceLeaderTwice(KeyOwnerSimulation& simulation) {
+  simulation.PauseInstance(simulation.Leader(),
+                           DrawTime(simulation, 2500, 6000));
+  simulation.UnlistTarget(static_cast<std::size_t>(simulation.Draw(
+                              0, KeyOwnerSimulation::kTargets - 1)),
+                          DrawTime(simulation, 4000, 9000));
+  simulation.RunFor(DrawTime(simulation, 1800, 3500));
+  const std::size_t successor = simulation.Leader();
+  if (simulation.Draw(0, 2) == 0) {
+    simulation.StartReplacement(successor, DrawTime(simulation, 500, 9000));
+  }
+  simulation.KillInstance(successor, DrawTime(simulation, 50, 1000));
+}
+
+// `restores` tells whether the log may come back from an older copy.
+void InjectFault(KeyOwnerSimulation& simulation, bool restores) {
   const auto instance = static_cast<std::size_t>(
       simulation.Draw(0, KeyOwnerSimulation::kInstances - 1));
   const auto target = static_cast<std::size_t>(
       simulation.Draw(0, KeyOwnerSimulation::kTargets - 1));
   const Milliseconds time = DrawTime(simulation, 100, 7000);
-  switch (simulation.Draw(0, 13)) {
+  switch (simulation.Draw(restores ? 0 : 3, 17)) {
     case 0:
     case 1:
     case 2:
@@ -61,6 +79,13 @@
       return simulation.FreezeTarget(target, time);
     case 12:
       return simulation.CutTarget(target, time);
+    case 13:
+      return simulation.UnlistTarget(target, time);
+    case 14:
+      return simulation.StartReplacement(instance, time);
+    case 15:
+    case 16:
+      return ReplaceLeaderTwice(simulation);
     default:
       for (std::size_t i = 0; i < KeyOwnerSimulation::kInstances; ++i) {
         simulation.KillInstance(i, DrawTime(simulation, 50, 1000));
@@ -78,10 +103,11 @@
 // Runs `faults` on a simulation in which all keys have owners, for each seed.
 // Requires that no invariant is violated and that all keys have owners again
 // within the users' limit.
-void RunSeeds(const std::function<void(KeyOwnerSimulation&)>& faults) {
+void RunSeeds(const std::function<void(KeyOwnerSimulation&)>& faults,
+              LogEra first_era = kFirstLogEra) {
   const int seeds = SeedCount();
   for (int seed = 1; seed <= seeds; ++seed) {
-    KeyOwnerSimulation simulation(static_cast<std::uint64_t>(seed));
+    KeyOwnerSimulation simulation(static_cast<std::uint64_t>(seed), first_era);
     simulation.RunFor(kStartTime);
     cr_assert_eq(simulation.UnownedKeys(), 0, "seed %d: not started", seed);
     faults(simulation);
@@ -92,14 +118,40 @@
   }
 }
 
+void InjectFaults(KeyOwnerSimulation& simulation, bool restores) {
+  for (int fault = 0; fault < 12; ++fault) {
+    InjectFault(simulation, restores);
+    simulation.RunFor(DrawTime(simulation, 0, 3500));
+  }
+  simulation.RunFor(Milliseconds(7000));
+}
+
 Test(key_owner_restore, keys_have_one_owner_under_random_faults) {
-  RunSeeds([](KeyOwnerSimulation& simulation) {
-    for (int fault = 0; fault < 12; ++fault) {
-      InjectFault(simulation);
-      simulation.RunFor(DrawTime(simulation, 0, 3500));
-    }
-    simulation.RunFor(Milliseconds(7000));
-  });
+  RunSeeds(
+      [](KeyOwnerSimulation& simulation) { InjectFaults(simulation, true); });
+}
+
+// The same with a log that does not count its restores and has none.
+Test(key_owner_restore, keys_have_one_owner_without_restores) {
+  RunSeeds(
+      [](KeyOwnerSimulation& simulation) { InjectFaults(simulation, false); },
+      0);
+}
+
+// Guards against two owners of a key: a leader that resumes reports the end of
+// its grants to a successor whose process has started again since.
+Test(key_owner_restore, leaders_that_are_replaced_twice_keep_owners_unique) {
+  for (const LogEra era : {LogEra{0}, kFirstLogEra}) {
+    RunSeeds(
+        [](KeyOwnerSimulation& simulation) {
+          for (int i = 0; i < 3; ++i) {
+            simulation.RunFor(DrawTime(simulation, 3000, 12000));
+            ReplaceLeaderTwice(simulation);
+          }
+          simulation.RunFor(Milliseconds(7000));
+        },
+        era);
+  }
 }
 
 // Guards against leases that are not renewed after a restore: their targets are
--- a/tests/unit/support/key_owner_simulation.h
+++ b/tests/unit/support/key_owner_simulation.h
@@ -21,23 +21,32 @@
 namespace snipehall::test {
 
 // Simulates instances with a KeyLeader each, targets that check fencing tokens,
-// and a log that can be restored from an older copy, in virtual time. Records
+// and a log that can be restored from an older copy, in virtual time. Instances
+// read the log directly or through a relay that lags behind. Records
 // violations: two targets that hold a key at the same time, and a target that
 // is granted a key with a token that is not above those of earlier owners. Runs
 // are reproducible from the seed.
 class KeyOwnerSimulation {
  public:
   static constexpr std::size_t kInstances = 3;
+  // Index of a process that runs beside that of the same instance; see
+  // StartReplacement().
+  static constexpr std::size_t kReplacement = kInstances;
   static constexpr std::size_t kTargets = 5;
   // One key of this many is simulated.
   static constexpr KeyNumber kKeyStep = 1024;
   static constexpr std::size_t kKeys = (kLastKey + 1) / kKeyStep;
 
-  explicit KeyOwnerSimulation(std::uint64_t seed) : m_random(seed) {
+  // `first_era` is the era that the log shows at first; zero if it does not
+  // count its restores, so that it may not be restored.
+  explicit KeyOwnerSimulation(std::uint64_t seed,
+                              LogEra first_era = kFirstLogEra)
+      : m_random(seed), m_era(first_era) {
     for (std::size_t t = 0; t < kTargets; ++t) {
       StartTarget(t);
     }
     for (std::size_t i = 0; i < kInstances; ++i) {
+      m_instances[i].id = "entry-" + std::to_string(i);
       StartInstance(i);
     }
     Repeat(Milliseconds(500), [this] { ListTargets(); });
@@ -87,6 +96,7 @@
         return entry.appended_at > copied_at;
       });
       ++m_era;
+      m_era_began_at = m_now;
     });
   }
   void StopLog(Milliseconds time) {
@@ -98,8 +108,7 @@
     m_appends_disturbed_until = m_now + time;
   }
   void KillInstance(std::size_t i, Milliseconds downtime) {
-    ++m_instances[i].generation;
-    m_instances[i].alive = false;
+    StopProcess(i);
     const int generation = m_instances[i].generation;
     After(downtime, [this, i, generation] {
       if (m_instances[i].generation == generation) {
@@ -114,6 +123,18 @@
   void CutInstanceFromLog(std::size_t i, Milliseconds time) {
     m_instances[i].log_cut_until = m_now + time;
   }
+  // Starts another process of instance `i` at another address, while the former
+  // one may still run, for `time`.
+  void StartReplacement(std::size_t i, Milliseconds time) {
+    KillInstance(kReplacement, Milliseconds(0));
+    m_instances[kReplacement].id = m_instances[i].id;
+    const int generation = m_instances[kReplacement].generation;
+    After(time, [this, generation] {
+      if (m_instances[kReplacement].generation == generation + 1) {
+        StopProcess(kReplacement);
+      }
+    });
+  }
   // The target's process ends; another one starts after `downtime`.
   void RestartTarget(std::size_t t, Milliseconds downtime) {
     m_targets[t].alive = false;
@@ -127,13 +148,17 @@
   void FreezeTarget(std::size_t t, Milliseconds time) {
     m_targets[t].frozen_until = m_now + time;
   }
+  // The target is no longer listed but can still be reached and holds its keys.
+  void UnlistTarget(std::size_t t, Milliseconds time) {
+    m_targets[t].unlisted_until = m_now + time;
+  }
   // No instance reaches the target, but it stays listed.
   void CutTarget(std::size_t t, Milliseconds time) {
     m_targets[t].cut_until = m_now + time;
   }
   // Index of the instance that is the leader, or of any other.
   std::size_t Leader() const {
-    for (std::size_t i = 0; i < kInstances; ++i) {
+    for (std::size_t i = 0; i < m_instances.size(); ++i) {
       if (m_instances[i].alive && m_instances[i].leader->IsLeader(m_now)) {
         return i;
       }
@@ -176,6 +201,7 @@
     int generation = 0;
     MonotonicTime frozen_until;
     MonotonicTime cut_until;
+    MonotonicTime unlisted_until;
     MonotonicTime unlisted_at;
     std::array<KeyHold, kKeys> keys;
   };
@@ -183,6 +209,7 @@
     InstanceId id;
     std::unique_ptr<KeyLeader> leader;
     KeyTopicCursor cursor;
+    Incarnation incarnation = 0;
     bool alive = false;
     bool appending = false;
     int generation = 0;
@@ -239,16 +266,27 @@
     m_targets[t].alive = true;
   }
 
+  static std::string Address(std::size_t i) {
+    return "address-" + std::to_string(i);
+  }
+
+  void StopProcess(std::size_t i) {
+    ++m_instances[i].generation;
+    m_instances[i].alive = false;
+  }
+
   void StartInstance(std::size_t i) {
     Instance& instance = m_instances[i];
     const int generation = instance.generation + 1;
     const MonotonicTime cut_until = instance.log_cut_until;
+    const InstanceId id = instance.id;
     instance = Instance{};
     instance.generation = generation;
     instance.log_cut_until = cut_until;
-    instance.id = "entry-" + std::to_string(i);
+    instance.id = id;
+    instance.incarnation = ++m_process_starts;
     instance.leader =
-        std::make_unique<KeyLeader>(instance.id, ++m_process_starts, "address");
+        std::make_unique<KeyLeader>(id, instance.incarnation, Address(i));
     instance.leader->SetKeyedServices({{kService, 0}});
     instance.alive = true;
     instance.leader_seen_at = m_now;
@@ -262,7 +300,7 @@
   void ListTargets() {
     TargetList list;
     for (Target& target : m_targets) {
-      if (target.alive) {
+      if (target.alive && m_now >= target.unlisted_until) {
         target.unlisted_at = m_now + Milliseconds(3000);
       }
       if (m_now < target.unlisted_at) {
@@ -275,7 +313,7 @@
       }
     }
     m_target_list = std::move(list);
-    for (std::size_t i = 0; i < kInstances; ++i) {
+    for (std::size_t i = 0; i < m_instances.size(); ++i) {
       PassTargets(i);
     }
   }
@@ -300,17 +338,30 @@
       OnInstance(i, Milliseconds(Draw(50, 600)), [this, i] { ReadLog(i); });
       return;
     }
-    const TopicPosition from = m_instances[i].cursor.position();
+    const Instance& instance = m_instances[i];
+    const TopicPosition from = instance.cursor.position();
+    // The leader reads directly.
+    const bool relayed = !instance.leader->IsNamedLeader() && Draw(0, 3) == 0;
+    const MonotonicTime read_at =
+        relayed ? std::max(m_era_began_at, m_now - Milliseconds(Draw(0, 1500)))
+                : m_now;
+    const std::size_t size = LogSize(read_at);
+    if (from.era == m_era && size < from.offset) {
+      // An instance does not read through a relay that is behind it.
+      OnInstance(i, latency, [this, i] { ReadLog(i); });
+      return;
+    }
     RecordPage page;
-    page.sent_at = sent_at;
+    page.sent_at = std::min(sent_at, read_at);
     page.era = m_era;
-    page.end_offset = m_log.size();
+    page.end_offset = size;
     std::vector<KeyTable> tables;
-    const bool continues = m_instances[i].cursor.known() && from.era == m_era &&
-                           from.offset <= m_log.size();
+    // A compacted log has only the newest version.
+    const bool continues = instance.cursor.known() && from.era == m_era &&
+                           from.offset <= size && Draw(0, 3) != 0;
     for (std::size_t n = continues ? from.offset
-                                   : std::max<std::size_t>(m_log.size(), 1) - 1;
-         n < m_log.size(); ++n) {
+                                   : std::max<std::size_t>(size, 1) - 1;
+         n < size; ++n) {
       tables.push_back(m_log[n].table);
     }
     OnInstance(i, latency, [this, i, page, tables]() mutable {
@@ -320,11 +371,21 @@
     });
   }
 
+  // Number of versions that the log had at `time` in its present era.
+  std::size_t LogSize(MonotonicTime time) const {
+    return static_cast<std::size_t>(std::count_if(
+        m_log.begin(), m_log.end(),
+        [time](const auto& entry) { return entry.appended_at <= time; }));
+  }
+
   void OnPage(std::size_t i,
               const RecordPage& page,
               const std::vector<KeyTable>& tables) {
     Instance& instance = m_instances[i];
-    if (instance.cursor.known() && page.era < instance.cursor.position().era) {
+    const TopicPosition known = instance.cursor.position();
+    if (instance.cursor.known() &&
+        (page.era < known.era ||
+         (page.era == known.era && page.end_offset < known.offset))) {
       return;
     }
     const bool gap = page.received_at > instance.cursor.read_at() + kMaxReadAge;
@@ -349,10 +410,10 @@
     KeyLeader& leader = *m_instances[i].leader;
     const bool was_named = leader.IsNamedLeader();
     const LogEra former_era = leader.table().era;
-    const InstanceId former_leader = leader.table().leader;
+    const std::uint64_t former_term = leader.table().term;
     const Milliseconds remaining = leader.RemainingGrantTime(m_now);
     leader.OnTable(m_now, table);
-    if (leader.table().leader != former_leader) {
+    if (leader.table().term != former_term) {
       m_instances[i].leader_seen_at = m_now;
     }
     if (leader.KnowsNewerAssignments()) {
@@ -363,21 +424,30 @@
     }
     if (was_named && !leader.IsNamedLeader() &&
         leader.table().era == former_era) {
-      SendToLeader(leader.table(), [term = leader.table().term, remaining](
-                                       KeyLeader& receiver, MonotonicTime now) {
-        receiver.OnLeaderReplaced(now, {term, remaining});
-      });
+      const LeaderReplaced report{leader.table().term, remaining,
+                                  m_instances[i].incarnation};
+      SendToLeader(leader.table(),
+                   [report](KeyLeader& receiver, MonotonicTime now) {
+                     receiver.OnLeaderReplaced(now, report);
+                   });
     }
   }
 
-  // Sends a message to the leader of the table; `receive` runs there.
+  // Sends a message to the address of the table's leader; `receive` runs on the
+  // process that is there when it arrives, which may be late.
   void SendToLeader(
       const KeyTable& table,
       const std::function<void(KeyLeader&, MonotonicTime)>& receive) {
-    for (std::size_t i = 0; i < kInstances; ++i) {
-      if (m_instances[i].alive && m_instances[i].id == table.leader) {
-        OnInstance(i, DrawLatency(), [this, i, receive] {
-          receive(*m_instances[i].leader, m_now);
+    const Milliseconds latency =
+        Draw(0, 5) == 0 ? Milliseconds(Draw(500, 6000)) : DrawLatency();
+    for (std::size_t i = 0; i < m_instances.size(); ++i) {
+      if (Address(i) == table.leader_address) {
+        After(latency, [this, i, receive] {
+          if (m_instances[i].alive) {
+            OnInstance(i, Milliseconds(0), [this, i, receive] {
+              receive(*m_instances[i].leader, m_now);
+            });
+          }
         });
       }
     }
@@ -386,8 +456,10 @@
   // Whether the instance is to replace the leader.
   bool ShouldTakeOver(std::size_t i) {
     Instance& instance = m_instances[i];
-    for (const Instance& other : m_instances) {
-      if (other.alive && other.id == instance.leader->table().leader &&
+    for (std::size_t j = 0; j < m_instances.size(); ++j) {
+      const Instance& other = m_instances[j];
+      if (other.alive &&
+          Address(j) == instance.leader->table().leader_address &&
           other.paused_until <= m_now && other.leader->IsLeader(m_now)) {
         instance.leader_seen_at = m_now;
       }
@@ -584,11 +656,12 @@
   std::priority_queue<Event> m_events;
   std::uint64_t m_event_count = 0;
   std::vector<LogEntry> m_log;
-  LogEra m_era = kFirstLogEra;
+  LogEra m_era;
+  MonotonicTime m_era_began_at = kStart;
   MonotonicTime m_log_down_until;
   MonotonicTime m_appends_disturbed_until;
   std::array<Target, kTargets> m_targets;
-  std::array<Instance, kInstances> m_instances;
+  std::array<Instance, kInstances + 1> m_instances;
   TargetList m_target_list;
   std::int64_t m_target_starts = 0;
   Incarnation m_process_starts = 0;
