Permits: a response to a former process's request matches none of the new one

What callers and targets would see: a request above the rate limit that a target has named.

Cause: each process numbered its requests for permits from 1. A leader that resumes answers what has waited for it, also requests of an instance's process that has ended, and the next process of the instance took the response for one to its own request with the same number.

Change: requests are numbered from half of the process's incarnation. Test: permit_requests, response_to_the_former_process_is_ignored; with numbers from 1 it fails (100 of 100 responses taken), with the change the three cases pass.

--- a/src/transport/gateway/gateway_control.h
+++ b/src/transport/gateway/gateway_control.h
@@ -112,6 +112,7 @@
         m_append_log(platform.NewLog()),
         m_leader_timer(m_executor),
         m_relay_selection(std::make_shared<RelaySelection>()),
+        m_permit_requests(m_incarnation),
         m_policy_feed(m_executor,
                       platform.policy_topic(),
                       NewFeedLog({Milliseconds(0), kReadWait}),
--- a/src/transport/gateway/permit_requests.h
+++ b/src/transport/gateway/permit_requests.h
@@ -17,6 +17,12 @@
   // A response that has not arrived after this time counts as lost.
   static constexpr Milliseconds kResponseTimeout{50};
 
+  // Numbers the requests from one that only this process uses, so that a late
+  // response to a former process of the instance matches none of them. Half of
+  // the incarnation leaves room for numbers that only grow.
+  explicit PermitRequests(Incarnation incarnation)
+      : m_last_number(incarnation / 2) {}
+
   // Returns the number of a new request; `on_response` is called with the
   // response to it, or never.
   std::uint64_t Add(MonotonicTime now, OnResponse on_response);
@@ -30,7 +36,7 @@
     MonotonicTime expires_at;
   };
 
-  std::uint64_t m_last_number = 0;
+  std::uint64_t m_last_number;
   std::map<std::uint64_t, Request> m_requests;
 };
 
