Permits: those that a leader has saved end with its term

What targets would see: more requests than 1.5 times the rate limit that they have named.

Cause: an instance that led, was replaced and leads again went on with the token buckets of its earlier term, while the leader in between granted permits too.

Change: SharedRateLimiter::SetTerm() drops the buckets of another term; a new one begins with one permit, as at a leader's start. Test: shared_rate_limiter, saved_permits_end_with_the_term, two leaders in turn for 1.2 s each at 40 requests a second: 353 permits in 4 s without the change (it fails), 161 with it, 245 allowed. gateway_rate_limit_test and gateways_rate_limit_test (real processes) pass.

--- a/src/coordination/shared_rate_limiter.cc
+++ b/src/coordination/shared_rate_limiter.cc
@@ -15,6 +15,13 @@
 
 }  // namespace
 
+void SharedRateLimiter::SetTerm(std::uint64_t term) {
+  if (term != m_term) {
+    m_term = term;
+    m_buckets.clear();
+  }
+}
+
 std::optional<Milliseconds> SharedRateLimiter::TryTake(MonotonicTime now,
                                                        std::string_view target,
                                                        double limit) {
--- a/src/coordination/shared_rate_limiter.h
+++ b/src/coordination/shared_rate_limiter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string_view>
@@ -18,6 +19,10 @@
   // times t.
   static constexpr Milliseconds kBurstTime{1500};
 
+  // Call with the leader's term before each TryTake(). Permits that were saved
+  // in an earlier term are void: another leader has granted permits since.
+  void SetTerm(std::uint64_t term);
+
   // Takes a permit for a request to the target, whose limit is `limit` requests
   // per second, above zero. Returns nothing if it was granted, otherwise the
   // time until the next permit is due.
@@ -35,6 +40,7 @@
   // Removes the buckets that have not been used for long.
   void RemoveUnused(MonotonicTime now);
 
+  std::uint64_t m_term = 0;
   std::map<TargetId, Bucket, std::less<>> m_buckets;
   MonotonicTime m_next_removal_at;
 };
--- a/src/transport/gateway/gateway_control.h
+++ b/src/transport/gateway/gateway_control.h
@@ -787,6 +787,7 @@
                                          double limit) {
     const MonotonicTime now = Now();
     m_key_leader.OnRateLimit(now, target, limit);
+    m_rate_limiter.SetTerm(m_key_leader.table().term);
     return m_rate_limiter.TryTake(now, target, limit);
   }
 
--- a/tests/unit/shared_rate_limiter_test.cc
+++ b/tests/unit/shared_rate_limiter_test.cc
@@ -1,6 +1,7 @@
 #include "coordination/shared_rate_limiter.h"
 
 #include <algorithm>
+#include <array>
 #include <deque>
 #include <random>
 
@@ -72,5 +73,31 @@
   cr_assert(!limiter.TryTake(now + *wait, "target", 2));
 }
 
+// Guards against a burst from permits that a leader has saved before another
+// one led: two instances lead in turn, and each time the demand is far too
+// high.
+Test(shared_rate_limiter, saved_permits_end_with_the_term) {
+  constexpr double kLimit = 40;
+  constexpr Milliseconds kTerm{1200};
+  std::array<SharedRateLimiter, 2> limiters;
+  std::deque<MonotonicTime> recent;
+  std::size_t max_granted = 0;
+  for (Milliseconds time{0}; time < 10 * kTerm; time += Milliseconds(1)) {
+    const auto term = static_cast<std::uint64_t>(time / kTerm);
+    SharedRateLimiter& limiter = limiters[term % 2];
+    const MonotonicTime now = MonotonicTime() + time;
+    limiter.SetTerm(term);
+    if (!limiter.TryTake(now, "target", kLimit)) {
+      recent.push_back(now);
+    }
+    while (!recent.empty() && now - recent.front() > Milliseconds(4000)) {
+      recent.pop_front();
+    }
+    max_granted = std::max(max_granted, recent.size());
+  }
+  cr_assert(static_cast<double>(max_granted) <= 1.5 * kLimit * 4 + 5,
+            "%zu in 4 s", max_granted);
+}
+
 }  // namespace
 }  // namespace snipehall::test
