Tests: relayed pages have the relay's time of reading in the property test

The simulation gave a page that was read through a relay the time at which it arrived, where the gateway takes the relay's time of reading, so that the time for which an instance counts as following the log was too long.

--- a/tests/unit/support/key_owner_simulation.h
+++ b/tests/unit/support/key_owner_simulation.h
@@ -364,8 +364,9 @@
          n < size; ++n) {
       tables.push_back(m_log[n].table);
     }
-    OnInstance(i, latency, [this, i, page, tables]() mutable {
-      page.received_at = m_now;
+    OnInstance(i, latency, [this, i, page, tables, relayed]() mutable {
+      // A relay states the age of its records.
+      page.received_at = relayed ? page.sent_at : m_now;
       OnPage(i, page, tables);
       OnInstance(i, Milliseconds(Draw(5, 40)), [this, i] { ReadLog(i); });
     });
