Peer links: calls of peers outlive the server that they came through

The RPC system destroys cancelled calls in a later turn of the event loop, or with the loop, after the server. The RPC interface pointed to the server too. PeerClient and PeerLinkService were looked at for the same shape: their promises end before what they use.

--- a/tests/unit/peer_link_test.cc
+++ b/tests/unit/peer_link_test.cc
@@ -199,6 +199,30 @@
   cr_assert(second.received_heartbeats.empty());
 }
 
+// Guards against calls that use the memory of a server that has ended: they are
+// destroyed with the event loop, after it.
+Test(peer_link, service_ends_while_calls_wait_for_a_reply) {
+  constexpr int kCalls = 8;
+  PeerLimits limits;
+  limits.queue_capacity = kCalls / 2;
+  boost::asio::io_context context;
+  Instance first(context, "127.0.0.1:0");
+  for (int round = 0; round < 20; ++round) {
+    boost::asio::io_context idle_context;
+    Instance second(idle_context, "127.0.0.1:0", limits);
+    for (int call = 0; call < kCalls; ++call) {
+      first.service->Send(
+          SendHeartbeat{"entry-" + std::to_string(round * kCalls + call + 2),
+                        second.service->address(), MakeHeartbeat(1)});
+    }
+    first.service->Send(FetchRecords{"entry-" + std::to_string(round + 2000),
+                                     second.service->address(), 40});
+    // The queue is full, so as many calls wait.
+    cr_assert(RunUntil(context, [&] { return second.service->dropped() > 0; }));
+    second.service.reset();
+  }
+}
+
 // Guards against two daemons that both start with the same peer address.
 Test(peer_link, address_in_use_is_reported) {
   boost::asio::io_context context;
