--- a/src/coordination/key_leader.h
+++ b/src/coordination/key_leader.h
@@ -87,8 +87,8 @@
 // - The leader grants keys to a new owner only when the previous one has
 //   answered a release that carries the new token, when its process has
 //   restarted or terminated, or when every grant that any leader can have sent
-//   it has expired. What the predecessor reports of that shortens the wait only
-//   if the table that the leader's term began with names that very process.
+//   it has expired. A former leader's report of its grants shortens that wait
+//   only if this leader took over from that very process.
 // - A leader sends orders only for kLeaderLeaseDuration after it sent the last
 //   read or append by which the log confirmed it; see OnConfirmed(). A new
 //   leader assumes that its predecessor sends grants until kLeaderLeaseDuration
