Target entries: one without a field names no target

The decoder did not read `Version` and took a missing `ColdLeft` for zero, although an entry with fields missing names no endpoint to use.

--- a/tests/process/odd_target_entry_test.cc
+++ b/tests/process/odd_target_entry_test.cc
@@ -1,3 +1,4 @@
+#include <boost/json.hpp>
 #include <chrono>
 #include <string>
 #include <thread>
@@ -59,6 +60,31 @@
   cr_assert_not(IsUsable(std::string(100000, '[')));
 }
 
+// Guards against requests to an endpoint of another service after an entry of
+// another writer, as the target's own but for its service and without
+// `Version`, has replaced that of a target (ROUTE, review/7).
+Test(odd_target_entry, entries_without_a_field_are_refused) {
+  namespace json = boost::json;
+  const json::value entry =
+      json::parse(Entry("10.0.0.1:80", "0ms", "1796453274000", "7"));
+  for (const char* pointer :
+       {"/Address", "/Info", "/Info/Service", "/Info/Zone", "/Info/Slots",
+        "/Info/Version", "/Status", "/Status/State", "/Status/ColdLeft",
+        "/Status/Sequence"}) {
+    const std::string path = pointer;
+    const std::size_t name = path.rfind('/');
+    json::value without = entry;
+    without.at_pointer(path.substr(0, name))
+        .as_object()
+        .erase(path.substr(name + 1));
+    cr_assert_not(IsUsable(json::serialize(without)), "without %s", pointer);
+    json::value other_type = entry;
+    other_type.at_pointer(path) = json::array{1};
+    cr_assert_not(IsUsable(json::serialize(other_type)), "array as %s",
+                  pointer);
+  }
+}
+
 Test(odd_target_entry, durations_out_of_range_are_refused_with_a_short_error) {
   cr_assert(platform::ParseDuration("3600s").has_value());
   const auto refused = platform::ParseDuration(std::string(5000, '9') + "s");
