Target registry: an entry that cannot be the target's own is refused

Refused entries change nothing; they are counted (`conflicting_target`) and logged with the reason (`target_entry_refused`, also for undecodable ones). Entries of one read are applied in their order, so that a target's own one counts although a refused one follows it. A process that a newer entry made to look outdated counts again after two reports.

The changes of a read are a sequence now, so the tests of the registry build them with emplace_back; one test gave four targets the same id in their entries, which the sequence would take for one.

--- a/src/coordination/target_registry.cc
+++ b/src/coordination/target_registry.cc
@@ -1,6 +1,7 @@
 #include "coordination/target_registry.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace snipehall {
@@ -29,40 +30,53 @@
 
 }  // namespace
 
-void TargetRegistry::OnRead(MonotonicTime now,
-                            Changes changes,
-                            bool is_full_list) {
+std::vector<TargetRegistry::RefusedEntry> TargetRegistry::OnRead(
+    MonotonicTime now,
+    const Changes& changes,
+    bool is_full_list) {
+  std::map<std::string_view, bool> listed;
   if (is_full_list) {
     for (const auto& [id, target] : m_targets) {
-      changes.try_emplace(id, std::nullopt);
+      listed.emplace(id, false);
+    }
+  }
+  for (const auto& [id, entry] : changes) {
+    listed.insert_or_assign(id, entry.has_value());
+  }
+  std::vector<TargetId> removed;
+  for (const auto& [id, is_listed] : listed) {
+    if (!is_listed && m_targets.contains(id)) {
+      removed.emplace_back(id);
     }
   }
-  const auto removed =
-      std::count_if(changes.begin(), changes.end(), [this](const auto& change) {
-        return !change.second && m_targets.contains(change.first);
-      });
   const bool interrupted = m_read_at && now > *m_read_at + kInterruptionGap;
   m_read_at = now;
   if (interrupted &&
-      static_cast<double>(removed) >=
+      static_cast<double>(removed.size()) >=
           kMassExpiryFraction * static_cast<double>(m_targets.size())) {
     m_return_until = now + kReturnTimeout;
   }
-  for (auto& [id, entry] : changes) {
-    Apply(now, id, std::move(entry));
+  std::vector<RefusedEntry> refused = ApplyEntries(now, changes);
+  for (const TargetId& id : removed) {
+    Remove(now, id);
   }
+  return refused;
 }
 
-void TargetRegistry::OnRestoredList(MonotonicTime now, const Changes& entries) {
+std::vector<TargetRegistry::RefusedEntry> TargetRegistry::OnRestoredList(
+    MonotonicTime now,
+    const Changes& entries) {
   m_read_at = now;
+  std::set<std::string_view> listed;
+  for (const auto& [id, entry] : entries) {
+    listed.insert(id);
+  }
   for (const auto& [id, target] : m_targets) {
-    if (!entries.contains(id)) {
+    if (!listed.contains(id)) {
       m_missing_until.emplace(id, now + kReturnTimeout);
     }
   }
-  for (const auto& [id, entry] : entries) {
-    Apply(now, id, entry);
-  }
+  return ApplyEntries(now, entries);
 }
 
 bool TargetRegistry::HasLeft(const ListedTarget& entry) const {
@@ -72,35 +86,108 @@
          last->second.report_sequence == entry.report_sequence;
 }
 
-void TargetRegistry::Apply(MonotonicTime now,
-                           const TargetId& id,
-                           std::optional<ListedTarget> entry) {
-  if (!entry) {
-    Remove(now, id);
-    return;
+std::string_view TargetRegistry::FindConflict(const ListedTarget& entry,
+                                              const ListedTarget& known) const {
+  if (entry.service != known.service) {
+    return "its target has another service";
   }
-  const auto last = m_newest_entries.find(id);
-  if (last != m_newest_entries.end()) {
-    if (IsOlder(*entry, last->second) || HasLeft(*entry)) {
-      return;
+  if (entry.start_time_ms == known.start_time_ms) {
+    if (entry.address != known.address || entry.zone != known.zone) {
+      return "its process has another address or zone";
+    }
+    if (entry.report_sequence > known.report_sequence + kMaxReportStep) {
+      return "its report number is far above the one before";
     }
-    entry->draining =
-        entry->draining || (last->second.draining &&
-                            last->second.start_time_ms == entry->start_time_ms);
+    return {};
   }
-  m_newest_entries.insert_or_assign(TargetId(id), *entry);
+  const bool address_taken =
+      entry.address != known.address &&
+      std::any_of(m_targets.begin(), m_targets.end(), [&](const auto& item) {
+        return item.second.address == entry.address;
+      });
+  return address_taken ? "another target has its address" : "";
+}
+
+bool TargetRegistry::KeepsReporting(MonotonicTime now,
+                                    const ListedTarget& entry) {
+  const auto ignored = m_ignored_reports.find(entry.id);
+  const bool reports = ignored != m_ignored_reports.end() &&
+                       ignored->second.read_at < now &&
+                       ignored->second.start_time_ms == entry.start_time_ms &&
+                       ignored->second.report_sequence < entry.report_sequence;
+  m_ignored_reports.insert_or_assign(
+      entry.id, IgnoredReport{entry.start_time_ms, entry.report_sequence, now});
+  return reports;
+}
+
+bool TargetRegistry::IsOfKnownProcess(const ListedTarget& entry) const {
+  const auto known = m_targets.find(entry.id);
+  if (known == m_targets.end()) {
+    return false;
+  }
+  const auto replaced = m_replaced_processes.find(entry.id);
+  const ListedTarget& process =
+      replaced != m_replaced_processes.end() &&
+              replaced->second.start_time_ms == entry.start_time_ms
+          ? replaced->second
+          : known->second;
+  return process.start_time_ms == entry.start_time_ms &&
+         FindConflict(entry, process).empty();
+}
+
+std::vector<TargetRegistry::RefusedEntry> TargetRegistry::ApplyEntries(
+    MonotonicTime now,
+    const Changes& changes) {
+  std::vector<RefusedEntry> refused;
+  for (const auto& [id, entry] : changes) {
+    if (!entry) {
+      continue;
+    }
+    const std::string_view reason = Apply(now, *entry);
+    if (!reason.empty()) {
+      refused.push_back({id, reason});
+      OnUnusableEntry(now, id);
+    }
+  }
+  return refused;
+}
+
+std::string_view TargetRegistry::Apply(MonotonicTime now, ListedTarget entry) {
+  const TargetId id = entry.id;
   const auto known = m_targets.find(id);
-  const auto missing = m_missing_until.find(id);
-  if (missing != m_missing_until.end()) {
-    m_missing_until.erase(missing);
+  const auto last = m_newest_entries.find(id);
+  if (last != m_newest_entries.end() && HasLeft(entry)) {
+    return {};
+  }
+  if (last != m_newest_entries.end() && IsOlder(entry, last->second)) {
+    if (!IsOfKnownProcess(entry) || !KeepsReporting(now, entry)) {
+      return {};
+    }
+  } else if (known != m_targets.end()) {
+    const std::string_view conflict = FindConflict(entry, known->second);
+    if (!conflict.empty()) {
+      return conflict;
+    }
+  }
+  if (last != m_newest_entries.end()) {
+    entry.draining =
+        entry.draining || (last->second.draining &&
+                           last->second.start_time_ms == entry.start_time_ms);
   }
-  if (known == m_targets.end() || Differs(*entry, known->second)) {
+  m_newest_entries.insert_or_assign(id, entry);
+  m_missing_until.erase(id);
+  if (known == m_targets.end() || Differs(entry, known->second)) {
     m_changed = true;
   } else {
     // Many small delays add up, so each is compared with what was published.
-    entry->warmup_until = known->second.warmup_until;
+    entry.warmup_until = known->second.warmup_until;
+  }
+  if (known != m_targets.end() &&
+      known->second.start_time_ms != entry.start_time_ms) {
+    m_replaced_processes.insert_or_assign(id, known->second);
   }
-  m_targets.insert_or_assign(TargetId(id), *std::move(entry));
+  m_targets.insert_or_assign(id, std::move(entry));
+  return {};
 }
 
 void TargetRegistry::Remove(MonotonicTime now, std::string_view id) {
--- a/src/transport/gateway/gateway_control.h
+++ b/src/transport/gateway/gateway_control.h
@@ -1011,28 +1011,27 @@
     TargetRegistry::Changes changes;
     std::set<TargetId, std::less<>> unusable;
     for (const KeyedRecord& record : page.records) {
-      std::optional<ListedTarget>& change = changes[record.key];
-      change.reset();
       unusable.erase(record.key);
       if (record.value.empty()) {
+        changes.emplace_back(record.key, std::nullopt);
         continue;
       }
       auto parsed = m_platform.ParseTarget(record.key, record.value, now);
       if (parsed) {
-        change = std::move(parsed).value();
+        changes.emplace_back(record.key, std::move(parsed).value());
         continue;
       }
       m_metrics.IncrementEvent("unreadable_target");
-      const auto known = m_registry.targets().find(record.key);
-      if (known != m_registry.targets().end()) {
-        change = known->second;
-        unusable.insert(record.key);
-      }
+      LogRefusedEntry(record.key, parsed.error().message);
+      unusable.insert(record.key);
     }
-    if (restored) {
-      m_registry.OnRestoredList(now, changes);
-    } else {
-      m_registry.OnRead(now, std::move(changes), whole);
+    AddKnownEntries(unusable, changes);
+    const std::vector<TargetRegistry::RefusedEntry> refused =
+        restored ? m_registry.OnRestoredList(now, changes)
+                 : m_registry.OnRead(now, changes, whole);
+    for (const TargetRegistry::RefusedEntry& entry : refused) {
+      m_metrics.IncrementEvent("conflicting_target");
+      LogRefusedEntry(entry.id, entry.reason);
     }
     for (const TargetId& id : unusable) {
       m_registry.OnUnusableEntry(now, id);
@@ -1042,6 +1041,25 @@
     PublishTargets(now);
   }
 
+  // Adds the known entries of the targets in `ids` that have no change.
+  void AddKnownEntries(const std::set<TargetId, std::less<>>& ids,
+                       TargetRegistry::Changes& changes) const {
+    std::set<TargetId, std::less<>> missing = ids;
+    for (const auto& [id, entry] : changes) {
+      missing.erase(id);
+    }
+    for (const TargetId& id : missing) {
+      const auto known = m_registry.targets().find(id);
+      if (known != m_registry.targets().end()) {
+        changes.emplace_back(id, known->second);
+      }
+    }
+  }
+
+  void LogRefusedEntry(std::string_view id, std::string_view reason) {
+    m_log.Write("target_entry_refused", {{"id", id}, {"reason", reason}});
+  }
+
   // Passes the targets on if they have changed. Returns whether they had.
   bool PublishTargets(MonotonicTime now) {
     if (!m_registry.TakeChanged()) {
--- a/tests/unit/target_registry_test.cc
+++ b/tests/unit/target_registry_test.cc
@@ -18,12 +18,18 @@
   return target;
 }
 
+ListedTarget MakeNamedEntry(const char* id, std::uint64_t report_sequence) {
+  ListedTarget target = MakeEntry(report_sequence);
+  target.id = id;
+  return target;
+}
+
 // Reads the list with one changed entry.
 void ReadChange(TargetRegistry& registry,
                 MonotonicTime now,
                 std::optional<ListedTarget> entry) {
   TargetRegistry::Changes changes;
-  changes.emplace("a", std::move(entry));
+  changes.emplace_back("a", std::move(entry));
   registry.OnRead(now, std::move(changes), false);
 }
 
@@ -92,7 +98,7 @@
   TargetRegistry registry;
   TargetRegistry::Changes changes;
   for (const char* id : {"a", "b", "c", "d"}) {
-    changes.emplace(id, MakeEntry(1));
+    changes.emplace_back(id, MakeNamedEntry(id, 1));
   }
   registry.OnRead(kStart, std::move(changes), true);
   ReadChange(registry, kStart + Milliseconds(9000), std::nullopt);
@@ -148,22 +154,16 @@
   cr_assert_not(registry.TakeChanged());
 }
 
-ListedTarget MakeNamedEntry(const char* id, std::uint64_t report_sequence) {
-  ListedTarget target = MakeEntry(report_sequence);
-  target.id = id;
-  return target;
-}
-
 // Guards against keys that are taken from a live target whose entry the
 // restored list has lost.
 Test(target_registry, entry_that_a_restored_list_lacks_is_kept_for_its_return) {
   TargetRegistry registry;
   TargetRegistry::Changes entries;
   for (const char* id : {"a", "b", "c", "d"}) {
-    entries.emplace(id, MakeNamedEntry(id, 5));
+    entries.emplace_back(id, MakeNamedEntry(id, 5));
   }
   registry.OnRead(kStart, entries, true);
-  entries.erase("d");
+  entries.pop_back();
   const MonotonicTime restored = kStart + Milliseconds(1000);
   registry.OnRestoredList(restored, entries);
   cr_assert_eq(registry.targets().size(), 4);
@@ -177,7 +177,7 @@
   TargetRegistry registry;
   TargetRegistry::Changes entries;
   for (const char* id : {"a", "b", "c", "d"}) {
-    entries.emplace(id, MakeNamedEntry(id, 5));
+    entries.emplace_back(id, MakeNamedEntry(id, 5));
   }
   registry.OnRead(kStart, entries, true);
   ReadChange(registry, kStart + Milliseconds(500), std::nullopt);
@@ -192,7 +192,7 @@
 Test(target_registry, draining_target_stays_so_in_a_restored_list) {
   TargetRegistry registry;
   TargetRegistry::Changes entries;
-  entries.emplace("a", MakeNamedEntry("a", 5));
+  entries.emplace_back("a", MakeNamedEntry("a", 5));
   registry.OnRead(kStart, entries, true);
   ListedTarget draining = MakeNamedEntry("a", 6);
   draining.draining = true;
@@ -201,6 +201,91 @@
   cr_assert(registry.targets().at("a").draining);
 }
 
+// Guards against a target whose keys and requests go elsewhere because another
+// writer has replaced its entry by one with another service or address (OWNER,
+// review/1).
+Test(target_registry, entry_that_is_not_the_targets_own_is_refused) {
+  const ListedTarget own = MakeEntry(5);
+  for (const std::int64_t start_time_ms : {1, 2}) {
+    ListedTarget other_service = own;
+    other_service.service = "booking";
+    ListedTarget address_of_other = own;
+    address_of_other.address = "127.0.0.1:8001";
+    for (ListedTarget entry : {other_service, address_of_other}) {
+      TargetRegistry registry;
+      ListedTarget other = MakeNamedEntry("b", 1);
+      other.address = "127.0.0.1:8001";
+      registry.OnRead(kStart, {{"a", own}, {"b", other}}, true);
+      entry.start_time_ms = start_time_ms;
+      entry.report_sequence = 6;
+      const auto refused = registry.OnRead(kStart, {{"a", entry}}, false);
+      cr_assert_eq(refused.size(), 1);
+      cr_assert(registry.targets().at("a") == own);
+    }
+  }
+}
+
+// Guards against a target whose own entry is lost because another writer's
+// follows it in the same read.
+Test(target_registry, own_entry_before_a_refused_one_counts) {
+  TargetRegistry registry;
+  ReadChange(registry, kStart, MakeEntry(1));
+  ListedTarget draining = MakeEntry(2);
+  draining.draining = true;
+  ListedTarget foreign = MakeEntry(3);
+  foreign.service = "booking";
+  registry.OnRead(kStart + Milliseconds(800), {{"a", draining}, {"a", foreign}},
+                  false);
+  cr_assert(registry.targets().at("a") == draining);
+}
+
+// Guards against a target that another writer silences with a great report
+// number, with one that is not refused, and with a process that never ran.
+Test(target_registry, target_that_keeps_reporting_is_not_outdated) {
+  for (const auto& [start_time_ms, report_sequence] :
+       {std::pair<std::int64_t, std::uint64_t>(1, 900'000'000),
+        std::pair<std::int64_t, std::uint64_t>(1, 5000),
+        std::pair<std::int64_t, std::uint64_t>(2, 1)}) {
+    TargetRegistry registry;
+    ReadChange(registry, kStart, MakeEntry(5));
+    ListedTarget foreign = MakeEntry(report_sequence, start_time_ms);
+    foreign.slots = 7;
+    ReadChange(registry, kStart, foreign);
+    MonotonicTime now = kStart;
+    for (std::uint64_t i = 6; i <= 8; ++i) {
+      now += Milliseconds(900);
+      ReadChange(registry, now, MakeEntry(i));
+    }
+    cr_assert(registry.targets().at("a") == MakeEntry(8));
+  }
+}
+
+// Guards against a target that another writer's entry under its id keeps out
+// because it was read first.
+Test(target_registry, first_entry_of_another_writer_gives_way) {
+  TargetRegistry registry;
+  ListedTarget foreign = MakeEntry(1);
+  foreign.address = "127.0.0.1:8001";
+  ReadChange(registry, kStart, foreign);
+  MonotonicTime now = kStart;
+  for (std::uint64_t i = 2; i <= 6; ++i) {
+    now += Milliseconds(900);
+    ReadChange(registry, now, MakeEntry(i));
+    registry.Expire(now);
+  }
+  cr_assert(registry.targets().at("a") == MakeEntry(6));
+}
+
+// Guards against requests to a former process whose reports arrive late.
+Test(target_registry, late_reports_of_a_former_process_are_ignored) {
+  TargetRegistry registry;
+  ReadChange(registry, kStart, MakeEntry(5));
+  ReadChange(registry, kStart + Milliseconds(100), MakeEntry(1, 2));
+  registry.OnRead(kStart + Milliseconds(200),
+                  {{"a", MakeEntry(6)}, {"a", MakeEntry(7)}}, false);
+  cr_assert(registry.targets().at("a") == MakeEntry(1, 2));
+}
+
 // Guards against requests to a target that has said that it is leaving, while
 // the list still says that it is ready; and against a new process that is taken
 // for the one that left.
