Key leader: a 421 ends only the process that the order was meant for

A late answer could take a restarted target's keys, and an entry with a wrong start time and address could give a target's keys to another one before its grant had expired (OWNER).

An order names the start time of the process that is meant. A 421 is recorded for that one, and the leader keeps the grants of each process of a target apart, so that only that one's end.

--- a/src/coordination/key_leader.cc
+++ b/src/coordination/key_leader.cc
@@ -97,8 +97,7 @@
   m_has_table = true;
   if (!IsNamedLeader()) {
     m_ranges.clear();
-    m_granted_until.clear();
-    m_grants_in_flight.clear();
+    m_grants.clear();
     m_next_probe.clear();
     return;
   }
@@ -174,13 +173,13 @@
 
 Milliseconds KeyLeader::RemainingGrantTime(MonotonicTime now) const {
   MonotonicTime last = now;
-  for (const auto& [target, until] : m_granted_until) {
-    last = std::max(last, until);
-  }
-  for (const auto& [target, grants] : m_grants_in_flight) {
-    if (grants > 0) {
-      last = std::max(
-          last, now + kOrderTimeout + LongestElapsedTime(kLongGrantDuration));
+  for (const auto& [target, processes] : m_grants) {
+    for (const auto& [start_time_ms, grants] : processes) {
+      last = std::max(last, grants.until);
+      if (grants.in_flight > 0) {
+        last = std::max(
+            last, now + kOrderTimeout + LongestElapsedTime(kLongGrantDuration));
+      }
     }
   }
   return std::chrono::ceil<Milliseconds>(std::max(last, m_former_grants_until) -
@@ -267,19 +266,24 @@
 }
 
 bool KeyLeader::MayHaveGrant(MonotonicTime now, std::string_view target) const {
-  const auto in_flight = m_grants_in_flight.find(target);
-  if (now < m_former_grants_until ||
-      (in_flight != m_grants_in_flight.end() && in_flight->second > 0)) {
+  // A process that was started since may have received a grant that was sent
+  // before its start was known, so only the end of the known process counts.
+  const bool terminated = HasTerminated(target);
+  if (!terminated && now < m_former_grants_until) {
     return true;
   }
-  const auto granted = m_granted_until.find(target);
-  return granted != m_granted_until.end() && now < granted->second;
-}
-
-bool KeyLeader::MayHold(MonotonicTime now, const KeyAssignment& range) const {
-  // A process that was started since may have received a grant that was sent
-  // before its start was known.
-  return !HasTerminated(range.owner) && MayHaveGrant(now, range.owner);
+  const auto found = m_grants.find(target);
+  if (found == m_grants.end()) {
+    return false;
+  }
+  const ListedTarget* known = FindKnownTarget(target);
+  return std::any_of(
+      found->second.begin(), found->second.end(), [&](const auto& item) {
+        const auto& [start_time_ms, grants] = item;
+        const bool ended = terminated && known != nullptr &&
+                           known->start_time_ms == start_time_ms;
+        return !ended && (grants.in_flight > 0 || now < grants.until);
+      });
 }
 
 std::vector<KeyCandidate> KeyLeader::Candidates(
@@ -430,7 +434,7 @@
     return true;
   }
   const auto may_hold = [this, now](const KeyAssignment& range) {
-    return MayHold(now, range);
+    return MayHaveGrant(now, range.owner);
   };
   const auto may_change = [this, now, &service](const KeyAssignment& range) {
     return MayChange(now, range, FindState(service, range));
@@ -455,7 +459,7 @@
   std::erase_if(result, [&](const KeyCandidate& item) {
     return IsUnresponsive(item.id) &&
            std::none_of(ranges.begin(), ranges.end(), [&](const auto& range) {
-             return range.owner == item.id && MayHold(now, range);
+             return range.owner == item.id && MayHaveGrant(now, range.owner);
            });
   });
   return result;
@@ -610,11 +614,9 @@
 
 const TargetId* KeyLeader::FindHolder(MonotonicTime now,
                                       const RangeState& state) const {
-  const auto found =
-      std::find_if(state.former_owners.begin(), state.former_owners.end(),
-                   [&](const TargetId& target) {
-                     return !HasTerminated(target) && MayHaveGrant(now, target);
-                   });
+  const auto found = std::find_if(
+      state.former_owners.begin(), state.former_owners.end(),
+      [&](const TargetId& target) { return MayHaveGrant(now, target); });
   return found == state.former_owners.end() ? nullptr : &*found;
 }
 
@@ -630,7 +632,7 @@
     const bool overlaps = old.first <= range.last && range.first <= old.last;
     if (overlaps && old.fencing_token != range.fencing_token &&
         old.owner != range.owner && old.owner != range.previous_owner &&
-        MayHold(now, old)) {
+        MayHaveGrant(now, old.owner)) {
       owners.push_back(old.owner);
     }
   }
@@ -679,13 +681,14 @@
       }
       order.kind = grants ? KeyOrder::Kind::kGrant : KeyOrder::Kind::kRelease;
       order.target = target->id;
+      order.start_time_ms = target->start_time_ms;
       order.address = target->address;
       if (grants) {
         state.has_long_grant = now >= m_confirmed_at + kLogUnresponsiveAge;
         order.grant_duration =
             state.has_long_grant ? kLongGrantDuration : kGrantDuration;
         order.handover_state = state.granted ? std::string() : state.handover;
-        ++m_grants_in_flight[order.target];
+        ++m_grants[order.target][order.start_time_ms].in_flight;
       }
       state.in_flight = true;
       orders.push_back(std::move(order));
@@ -705,28 +708,27 @@
     KeyOrder order;
     order.kind = KeyOrder::Kind::kProbe;
     order.target = target;
+    order.start_time_ms = listed->second.start_time_ms;
     order.address = listed->second.address;
     orders.push_back(std::move(order));
   }
 }
 
 void KeyLeader::UpdateProbes(MonotonicTime now,
-                             std::string_view target,
+                             const KeyOrder& order,
                              KeyOrderOutcome outcome) {
   switch (outcome) {
     case KeyOrderOutcome::kUnknown:
     case KeyOrderOutcome::kNotSent:
-      m_next_probe.insert_or_assign(TargetId(target), now + kProbeInterval);
+      m_next_probe.insert_or_assign(order.target, now + kProbeInterval);
       return;
     case KeyOrderOutcome::kGone:
-      if (const ListedTarget* known = FindKnownTarget(target)) {
-        m_terminated.insert_or_assign(known->id, known->start_time_ms);
-      }
+      m_terminated.insert_or_assign(order.target, order.start_time_ms);
       break;
     default:
       break;
   }
-  const auto found = m_next_probe.find(target);
+  const auto found = m_next_probe.find(order.target);
   if (found != m_next_probe.end()) {
     m_next_probe.erase(found);
   }
@@ -735,22 +737,22 @@
 void KeyLeader::RecordGrantResult(MonotonicTime now,
                                   const KeyOrder& order,
                                   KeyOrderOutcome outcome) {
-  const auto in_flight = m_grants_in_flight.find(order.target);
-  if (in_flight != m_grants_in_flight.end() && in_flight->second > 0) {
-    --in_flight->second;
+  Grants& grants = m_grants[order.target][order.start_time_ms];
+  if (grants.in_flight > 0) {
+    --grants.in_flight;
   }
   if (outcome == KeyOrderOutcome::kDone ||
       outcome == KeyOrderOutcome::kRejected ||
       outcome == KeyOrderOutcome::kUnknown) {
-    MonotonicTime& until = m_granted_until[order.target];
-    until = std::max(until, now + LongestElapsedTime(order.grant_duration));
+    grants.until =
+        std::max(grants.until, now + LongestElapsedTime(order.grant_duration));
   }
 }
 
 void KeyLeader::OnOrderResult(MonotonicTime now,
                               const KeyOrder& order,
                               const KeyOrderResult& result) {
-  UpdateProbes(now, order.target, result.outcome);
+  UpdateProbes(now, order, result.outcome);
   if (order.kind == KeyOrder::Kind::kProbe) {
     return;
   }
--- a/src/coordination/key_leader.h
+++ b/src/coordination/key_leader.h
@@ -31,6 +31,9 @@
 
   Kind kind = Kind::kGrant;
   TargetId target;
+  // Start time of the target's process that is meant. Another process of the
+  // target may be at the address when the order arrives.
+  std::int64_t start_time_ms = 0;
   std::string address;
   KeyNumber first = 0;
   KeyNumber last = 0;
@@ -325,15 +328,21 @@
     std::string handover;
   };
 
+  // The grants that this leader sent to a process of a target.
+  struct Grants {
+    int in_flight = 0;
+    // When the last one that may have arrived expires.
+    MonotonicTime until;
+  };
+
   // Whether the newest table names this instance, be it this process or another
   // one.
   bool IsInstanceNamed() const { return m_table.leader == m_self; }
   // Takes over the wait from a report of the predecessor for this term.
   void ApplyPredecessorReport();
   const ListedTarget* FindKnownTarget(std::string_view target) const;
+  // Whether the known process of the target has terminated.
   bool HasTerminated(std::string_view target) const;
-  // Whether the owner of the range may still hold it.
-  bool MayHold(MonotonicTime now, const KeyAssignment& range) const;
   // Returns the targets of the service that may own keys.
   std::vector<KeyCandidate> Candidates(std::string_view service) const;
   // The same without cold targets that own none of `ranges`, unless all are
@@ -364,14 +373,14 @@
   void AddProbes(MonotonicTime now, std::vector<KeyOrder>& orders);
   // Starts, continues or ends the probing of the target after an order.
   void UpdateProbes(MonotonicTime now,
-                    std::string_view target,
+                    const KeyOrder& order,
                     KeyOrderOutcome outcome);
   // Updates the expiry of the target's grants after the result of a grant.
   void RecordGrantResult(MonotonicTime now,
                          const KeyOrder& order,
                          KeyOrderOutcome outcome);
-  // Whether a grant to the target, by this leader or an earlier one, may be
-  // valid or in flight.
+  // Whether a grant to a process of the target that has not terminated, by this
+  // leader or an earlier one, may be valid or in flight.
   bool MayHaveGrant(MonotonicTime now, std::string_view target) const;
   // Returns the state of the range with the same first key, or null.
   const RangeState* FindState(const ServiceName& service,
@@ -445,10 +454,8 @@
   std::map<TargetId, RateLimit, std::less<>> m_rate_limits;
   // When completed moves may be recorded again; see kMoveCompletionInterval.
   MonotonicTime m_next_completion_at;
-  // When the last grant to each target expires, and how many grants to it are
-  // in flight.
-  std::map<TargetId, MonotonicTime, std::less<>> m_granted_until;
-  std::map<TargetId, int, std::less<>> m_grants_in_flight;
+  // The grants to each process of a target, by its start time.
+  std::map<TargetId, std::map<std::int64_t, Grants>, std::less<>> m_grants;
   // Targets that did not answer an order, with the time of the next probe. They
   // get no grants until they answer, so that their last grant expires.
   std::map<TargetId, MonotonicTime, std::less<>> m_next_probe;
--- a/tests/unit/key_leader_test.cc
+++ b/tests/unit/key_leader_test.cc
@@ -468,6 +468,57 @@
   RequireRestartedOwnerKeepsKeys(KeyOrderOutcome::kDone);
 }
 
+// Guards against two owners of a key when another process answers at the
+// address of an entry that is not the target's own: the target holds what it
+// was granted before (OWNER).
+Test(key_leader, refusal_ends_only_the_grants_to_the_process_that_was_meant) {
+  LeaderFixture fixture;
+  fixture.BecomeLeaderOfTwoTargets();
+  fixture.AddTarget("a", 2);
+  cr_assert(fixture.AppendNextTable());
+  const auto finish_orders = [&fixture] {
+    bool granted_to_other = false;
+    for (const KeyOrder& order : fixture.TakeDueOrders()) {
+      granted_to_other =
+          granted_to_other || (order.kind == KeyOrder::Kind::kGrant &&
+                               order.target == "b" && order.first == 0);
+      fixture.Finish(order, order.target == "a" ? KeyOrderOutcome::kGone
+                                                : KeyOrderOutcome::kDone);
+    }
+    return granted_to_other;
+  };
+  cr_assert_not(finish_orders());
+  bool granted = false;
+  Milliseconds waited{0};
+  constexpr Milliseconds kStep{100};
+  for (; waited < KeyLeader::kGrantDuration * 2 && !granted; waited += kStep) {
+    fixture.Advance(kStep);
+    fixture.AppendNextTable();
+    granted = finish_orders();
+  }
+  cr_assert(granted);
+  cr_assert_gt(waited.count(), KeyLeader::kGrantDuration.count());
+  cr_assert_lt(waited.count(), (KeyLeader::kGrantDuration * 1.1).count());
+}
+
+// Guards against keys that are taken from a restarted target because its former
+// address answers an order late (OWNER).
+Test(key_leader, late_refusal_does_not_end_the_next_process) {
+  LeaderFixture fixture;
+  fixture.BecomeLeaderOfTwoTargets();
+  fixture.Advance(KeyLeader::kRenewalInterval);
+  const std::vector<KeyOrder> renewals = fixture.TakeDueOrders();
+  fixture.AddTarget("a", 2);
+  cr_assert(fixture.AppendNextTable());
+  for (const KeyOrder& order : renewals) {
+    fixture.Finish(order, order.target == "a" ? KeyOrderOutcome::kGone
+                                              : KeyOrderOutcome::kDone);
+  }
+  fixture.AppendNextTable();
+  cr_assert_eq(fixture.Range(0).owner, "a");
+  cr_assert_not(fixture.Range(0).moving());
+}
+
 // Guards against grants that are no longer renewed because a grant of the whole
 // range was in flight while a part of the range was released.
 Test(key_leader, rejected_grant_of_a_former_range_does_not_stop_renewals) {
