Target registry: an entry that the same read removes is not listed

Since the entries of a read are applied in their order, a target that wrote its first entry and left between two reads stayed listed: only targets that were known before the read were removed. All ids whose last change is a removal are removed now. In a restored list, a target with a removed entry counts as missing, as one without an entry does.

--- a/src/coordination/target_registry.cc
+++ b/src/coordination/target_registry.cc
@@ -45,14 +45,17 @@
   }
   std::vector<TargetId> removed;
   for (const auto& [id, is_listed] : listed) {
-    if (!is_listed && m_targets.contains(id)) {
+    if (!is_listed) {
       removed.emplace_back(id);
     }
   }
+  const auto missing = std::count_if(
+      removed.begin(), removed.end(),
+      [this](const TargetId& id) { return m_targets.contains(id); });
   const bool interrupted = m_read_at && now > *m_read_at + kInterruptionGap;
   m_read_at = now;
   if (interrupted &&
-      static_cast<double>(removed.size()) >=
+      static_cast<double>(missing) >=
           kMassExpiryFraction * static_cast<double>(m_targets.size())) {
     m_return_until = now + kReturnTimeout;
   }
@@ -69,7 +72,9 @@
   m_read_at = now;
   std::set<std::string_view> listed;
   for (const auto& [id, entry] : entries) {
-    listed.insert(id);
+    if (entry) {
+      listed.insert(id);
+    }
   }
   for (const auto& [id, target] : m_targets) {
     if (!listed.contains(id)) {
--- a/tests/unit/target_registry_test.cc
+++ b/tests/unit/target_registry_test.cc
@@ -61,6 +61,14 @@
   cr_assert(registry.targets().empty());
 }
 
+// Guards against requests to a target that wrote its first entry and left
+// between two reads.
+Test(target_registry, entry_that_the_same_read_removes_is_not_listed) {
+  TargetRegistry registry;
+  registry.OnRead(kStart, {{"a", MakeEntry(1)}, {"a", std::nullopt}}, false);
+  cr_assert(registry.targets().empty());
+}
+
 // Guards against a target that loses its keys because another writer has
 // replaced its entry, and against one that is kept for ever.
 Test(target_registry, target_with_an_unusable_entry_has_time_to_report) {
