Key leader: a target that answers again gets greater tokens

Nothing in an order or its answer tells which process took it.

An order without an answer marks the ranges of its target whose tokens may have reached it; once the target answers again, they get new tokens, in one version of the table, before they are granted. Only the token is new: former owners keep to their releases, and handovers are kept.

--- a/src/coordination/key_leader.cc
+++ b/src/coordination/key_leader.cc
@@ -18,6 +18,16 @@
                                          KeyLeader::kClockDriftFactor);
 }
 
+// Whether `ranges` has the same assignment but for its token.
+bool ContainsWithOtherToken(std::span<const KeyAssignment> ranges,
+                            const KeyAssignment& item) {
+  return std::any_of(ranges.begin(), ranges.end(),
+                     [&item](KeyAssignment range) {
+                       range.fencing_token = item.fencing_token;
+                       return range == item;
+                     });
+}
+
 }  // namespace
 
 std::string_view ToString(KeyOrderOutcome outcome) {
@@ -125,12 +135,22 @@
         state = std::move(known->second);
       } else {
         const auto ranges_before = old.services.find(service);
-        state.former_owners = FindFormerOwners(
-            now, item,
+        const std::span<const KeyAssignment> old_ranges =
             ranges_before == old.services.end()
                 ? std::span<const KeyAssignment>()
-                : std::span<const KeyAssignment>(ranges_before->second));
+                : std::span<const KeyAssignment>(ranges_before->second);
+        if (known != m_ranges.end() && known->second.contact_lost &&
+            !known->second.fenced && ContainsWithOtherToken(old_ranges, item)) {
+          // Only the token is new, so former owners keep to their releases.
+          state.former_owners = std::move(known->second.former_owners);
+          state.handover = std::move(known->second.handover);
+        } else {
+          state.former_owners = FindFormerOwners(now, item, old_ranges);
+        }
       }
+      // Former leaders may have sent the tokens of the table that this leader
+      // took over.
+      state.sent = state.sent || !was_leader;
       if (!was_leader && IsUnverified(item, nullptr)) {
         state.next_order_at = now + kCorrectionTime;
       }
@@ -405,7 +425,10 @@
     for (KeyAssignment& item : ranges) {
       const RangeState* state = FindState(service, item);
       const bool rejected = state != nullptr && state->fenced;
-      if ((rejected || IsUnverified(item, state)) &&
+      const bool may_have_restarted = state != nullptr && state->contact_lost &&
+                                      m_targets.contains(item.owner) &&
+                                      !IsUnresponsive(item.owner);
+      if ((rejected || may_have_restarted || IsUnverified(item, state)) &&
           MayChange(now, item, state)) {
         // The newest table names this leader, so only this leader may assign a
         // greater token.
@@ -669,7 +692,8 @@
       order.fencing_token = item.fencing_token;
       const TargetId* holder = FindHolder(now, state);
       const bool grants = holder == nullptr;
-      if (grants && state.reassigned) {
+      if (grants && (state.reassigned ||
+                     (state.contact_lost && MayChange(now, item, &state)))) {
         continue;
       }
       const ListedTarget* target =
@@ -688,6 +712,7 @@
         order.grant_duration =
             state.has_long_grant ? kLongGrantDuration : kGrantDuration;
         order.handover_state = state.granted ? std::string() : state.handover;
+        state.sent = true;
         ++m_grants[order.target][order.start_time_ms].in_flight;
       }
       state.in_flight = true;
@@ -721,6 +746,7 @@
     case KeyOrderOutcome::kUnknown:
     case KeyOrderOutcome::kNotSent:
       m_next_probe.insert_or_assign(order.target, now + kProbeInterval);
+      OnContactLost(order.target);
       return;
     case KeyOrderOutcome::kGone:
       m_terminated.insert_or_assign(order.target, order.start_time_ms);
@@ -734,6 +760,17 @@
   }
 }
 
+void KeyLeader::OnContactLost(std::string_view target) {
+  for (const auto& [service, ranges] : m_table.services) {
+    for (const KeyAssignment& item : ranges) {
+      const auto state = m_ranges.find({service, item.first});
+      if (item.owner == target && state != m_ranges.end()) {
+        state->second.contact_lost = state->second.sent;
+      }
+    }
+  }
+}
+
 void KeyLeader::RecordGrantResult(MonotonicTime now,
                                   const KeyOrder& order,
                                   KeyOrderOutcome outcome) {
--- a/src/coordination/key_leader.h
+++ b/src/coordination/key_leader.h
@@ -319,6 +319,12 @@
     // by another leader. No orders are sent until the next version of the table
     // has a greater token; see RaiseTokens().
     bool fenced = false;
+    // A grant with the token may have reached a process of the owner.
+    bool sent = false;
+    // An order to the owner got no answer since then. The owner may have
+    // started again meanwhile, and a process must not get a token of a former
+    // one, so the range needs a greater one before its next grant.
+    bool contact_lost = false;
     // A version that NextTable() returned gives keys of the range to another
     // target, on the assumption that the owner no longer holds them. It may
     // still be appended, also after its append has failed, so the owner gets no
@@ -375,6 +381,9 @@
   void UpdateProbes(MonotonicTime now,
                     const KeyOrder& order,
                     KeyOrderOutcome outcome);
+  // Call when an order to the target got no answer; see
+  // RangeState::contact_lost.
+  void OnContactLost(std::string_view target);
   // Updates the expiry of the target's grants after the result of a grant.
   void RecordGrantResult(MonotonicTime now,
                          const KeyOrder& order,
@@ -398,9 +407,10 @@
   // target can hold a key of it.
   bool IsExclusivelyGranted(const ServiceName& service,
                             const KeyAssignment& range) const;
-  // Gives new tokens to ranges whose target has seen a greater one, and to
-  // those that were not renewed since the log was restored. Returns whether the
-  // table changed.
+  // Gives new tokens to ranges whose target has seen a greater one, to those
+  // that were not renewed since the log was restored, and to those whose owner
+  // answers again and may have started again. Returns whether the table
+  // changed.
   bool RaiseTokens(MonotonicTime now, KeyTable& next) const;
   // Whether the range was assigned in an earlier era of the log and its owner
   // has not accepted a renewal from this leader.
--- a/tests/unit/key_leader_test.cc
+++ b/tests/unit/key_leader_test.cc
@@ -501,6 +501,69 @@
   cr_assert_lt(waited.count(), (KeyLeader::kGrantDuration * 1.1).count());
 }
 
+// Guards against a restarted target that answers before its new entry is read,
+// and is granted its keys with the token of its former process (OWNER,
+// review/9).
+Test(key_leader, target_that_answers_again_gets_a_greater_token) {
+  LeaderFixture fixture;
+  fixture.BecomeLeaderOfTwoTargets();
+  const FencingToken before = fixture.Range(0).fencing_token;
+  const FencingToken other = fixture.Range(1).fencing_token;
+  fixture.Advance(KeyLeader::kRenewalInterval);
+  for (const KeyOrder& order : fixture.TakeDueOrders()) {
+    fixture.Finish(order, order.target == "a" ? KeyOrderOutcome::kNotSent
+                                              : KeyOrderOutcome::kDone);
+  }
+  bool granted = false;
+  for (int i = 0; i < 10 && !granted; ++i) {
+    fixture.Advance(Milliseconds(200));
+    fixture.AppendNextTable();
+    for (const KeyOrder& order : fixture.TakeDueOrders()) {
+      if (order.target == "a" && order.kind == KeyOrder::Kind::kGrant) {
+        cr_assert_gt(order.fencing_token, before);
+        granted = true;
+      }
+      fixture.Finish(order, KeyOrderOutcome::kDone);
+    }
+  }
+  cr_assert(granted);
+  cr_assert_eq(fixture.Range(0).owner, "a");
+  cr_assert_not(fixture.Range(0).moving());
+  cr_assert_eq(fixture.Range(1).fencing_token, other);
+}
+
+// Guards against a handover that is lost, and a release that is sent again,
+// because the first grant to the new owner got no answer.
+Test(key_leader, unanswered_first_grant_keeps_the_handover) {
+  LeaderFixture fixture;
+  fixture.BecomeLeaderOfTwoTargets();
+  fixture.SetLeaving("a");
+  cr_assert(fixture.AppendNextTable());
+  const FencingToken released = fixture.Range(0).fencing_token;
+  for (const KeyOrder& order : fixture.TakeDueOrders()) {
+    fixture.Finish(order, KeyOrderOutcome::kDone,
+                   order.kind == KeyOrder::Kind::kRelease ? "state" : "");
+  }
+  for (const KeyOrder& order : fixture.TakeDueOrders()) {
+    fixture.Finish(order, KeyOrderOutcome::kUnknown);
+  }
+  bool granted = false;
+  for (int i = 0; i < 10 && !granted; ++i) {
+    fixture.Advance(Milliseconds(200));
+    fixture.AppendNextTable();
+    for (const KeyOrder& order : fixture.TakeDueOrders()) {
+      cr_assert_neq(order.kind, KeyOrder::Kind::kRelease);
+      if (order.kind == KeyOrder::Kind::kGrant && order.first == 0) {
+        cr_assert_eq(order.handover_state, "state");
+        cr_assert_gt(order.fencing_token, released);
+        granted = true;
+      }
+      fixture.Finish(order, KeyOrderOutcome::kDone);
+    }
+  }
+  cr_assert(granted);
+}
+
 // Guards against keys that are taken from a restarted target because its former
 // address answers an order late (OWNER).
 Test(key_leader, late_refusal_does_not_end_the_next_process) {
--- a/tests/unit/key_owner_restore_test.cc
+++ b/tests/unit/key_owner_restore_test.cc
@@ -154,6 +154,21 @@
   }
 }
 
+// Guards against a target that is granted keys with the token of its former
+// process, because it answers before its new entry is read (OWNER, review/9).
+Test(key_owner_restore, restarted_targets_get_greater_tokens) {
+  RunSeeds([](KeyOwnerSimulation& simulation) {
+    simulation.CheckProcesses();
+    for (int restart = 0; restart < 8; ++restart) {
+      const auto target = static_cast<std::size_t>(
+          simulation.Draw(0, KeyOwnerSimulation::kTargets - 1));
+      simulation.RestartTarget(target, DrawTime(simulation, 2500, 7000));
+      simulation.RunFor(DrawTime(simulation, 100, 8000));
+    }
+    simulation.RunFor(Milliseconds(7000));
+  });
+}
+
 // Guards against leases that are not renewed after a restore: their targets are
 // live, and all instances know who owns what.
 Test(key_owner_restore, live_owners_keep_their_keys) {
--- a/tests/unit/support/key_owner_simulation.h
+++ b/tests/unit/support/key_owner_simulation.h
@@ -57,6 +57,9 @@
   MonotonicTime now() const { return m_now; }
   const std::vector<std::string>& violations() const { return m_violations; }
   // Number of leases that a live target lost without a release.
+  // From now on, a target that holds a key by a token of its former process
+  // counts as a violation too.
+  void CheckProcesses() { m_checks_processes = true; }
   int lapsed_leases() const { return m_lapsed_leases; }
   // Number of simulated keys that no live target holds.
   std::size_t UnownedKeys() const {
@@ -205,6 +208,12 @@
     MonotonicTime unlisted_at;
     std::array<KeyHold, kKeys> keys;
   };
+  // The greatest token by which a target has held a key.
+  struct GreatestToken {
+    TargetId owner;
+    std::int64_t start_time_ms = 0;
+    FencingToken token = 0;
+  };
   struct Instance {
     InstanceId id;
     std::unique_ptr<KeyLeader> leader;
@@ -629,13 +638,16 @@
         AddViolation("two owners", target, k, other.id);
       }
     }
-    auto& [owner, token] = m_greatest_tokens[k];
+    GreatestToken& greatest = m_greatest_tokens[k];
     const FencingToken own = target.keys[k].token;
-    if (owner != target.id && own <= token) {
-      AddViolation("token not above that of", target, k, owner);
+    const bool other_process =
+        greatest.owner != target.id ||
+        (m_checks_processes && greatest.start_time_ms != target.start_time_ms);
+    if (other_process && own <= greatest.token) {
+      AddViolation("token not above that of", target, k, greatest.owner);
     }
-    if (own >= token) {
-      m_greatest_tokens[k] = {target.id, own};
+    if (own >= greatest.token) {
+      greatest = {target.id, target.start_time_ms, own};
     }
   }
 
@@ -666,7 +678,8 @@
   TargetList m_target_list;
   std::int64_t m_target_starts = 0;
   Incarnation m_process_starts = 0;
-  std::array<std::pair<TargetId, FencingToken>, kKeys> m_greatest_tokens;
+  std::array<GreatestToken, kKeys> m_greatest_tokens;
+  bool m_checks_processes = false;
   std::vector<std::string> m_violations;
   int m_lapsed_leases = 0;
 };
