--- a/src/coordination/key_leader.cc
+++ b/src/coordination/key_leader.cc
@@ -18,6 +18,16 @@
                                          KeyLeader::kClockDriftFactor);
 }
 
+// Whether `ranges` has the same assignment but for its token.
+bool ContainsWithOtherToken(std::span<const KeyAssignment> ranges,
+                            const KeyAssignment& item) {
+  return std::any_of(ranges.begin(), ranges.end(),
+                     [&item](KeyAssignment range) {
+                       range.fencing_token = item.fencing_token;
+                       return range == item;
+                     });
+}
+
 }  // namespace
 
 std::string_view ToString(KeyOrderOutcome outcome) {
@@ -97,8 +107,7 @@
   m_has_table = true;
   if (!IsNamedLeader()) {
     m_ranges.clear();
-    m_granted_until.clear();
-    m_grants_in_flight.clear();
+    m_grants.clear();
     m_next_probe.clear();
     return;
   }
@@ -126,12 +135,22 @@
         state = std::move(known->second);
       } else {
         const auto ranges_before = old.services.find(service);
-        state.former_owners = FindFormerOwners(
-            now, item,
+        const std::span<const KeyAssignment> old_ranges =
             ranges_before == old.services.end()
                 ? std::span<const KeyAssignment>()
-                : std::span<const KeyAssignment>(ranges_before->second));
+                : std::span<const KeyAssignment>(ranges_before->second);
+        if (known != m_ranges.end() && known->second.contact_lost &&
+            !known->second.fenced && ContainsWithOtherToken(old_ranges, item)) {
+          // Only the token is new, so former owners keep to their releases.
+          state.former_owners = std::move(known->second.former_owners);
+          state.handover = std::move(known->second.handover);
+        } else {
+          state.former_owners = FindFormerOwners(now, item, old_ranges);
+        }
       }
+      // Former leaders may have sent the tokens of the table that this leader
+      // took over.
+      state.sent = state.sent || !was_leader;
       if (!was_leader && IsUnverified(item, nullptr)) {
         state.next_order_at = now + kCorrectionTime;
       }
@@ -174,13 +193,13 @@
 
 Milliseconds KeyLeader::RemainingGrantTime(MonotonicTime now) const {
   MonotonicTime last = now;
-  for (const auto& [target, until] : m_granted_until) {
-    last = std::max(last, until);
-  }
-  for (const auto& [target, grants] : m_grants_in_flight) {
-    if (grants > 0) {
-      last = std::max(
-          last, now + kOrderTimeout + LongestElapsedTime(kLongGrantDuration));
+  for (const auto& [target, processes] : m_grants) {
+    for (const auto& [start_time_ms, grants] : processes) {
+      last = std::max(last, grants.until);
+      if (grants.in_flight > 0) {
+        last = std::max(
+            last, now + kOrderTimeout + LongestElapsedTime(kLongGrantDuration));
+      }
     }
   }
   return std::chrono::ceil<Milliseconds>(std::max(last, m_former_grants_until) -
@@ -267,19 +286,24 @@
 }
 
 bool KeyLeader::MayHaveGrant(MonotonicTime now, std::string_view target) const {
-  const auto in_flight = m_grants_in_flight.find(target);
-  if (now < m_former_grants_until ||
-      (in_flight != m_grants_in_flight.end() && in_flight->second > 0)) {
+  // A process that was started since may have received a grant that was sent
+  // before its start was known, so only the end of the known process counts.
+  const bool terminated = HasTerminated(target);
+  if (!terminated && now < m_former_grants_until) {
     return true;
   }
-  const auto granted = m_granted_until.find(target);
-  return granted != m_granted_until.end() && now < granted->second;
-}
-
-bool KeyLeader::MayHold(MonotonicTime now, const KeyAssignment& range) const {
-  // A process that was started since may have received a grant that was sent
-  // before its start was known.
-  return !HasTerminated(range.owner) && MayHaveGrant(now, range.owner);
+  const auto found = m_grants.find(target);
+  if (found == m_grants.end()) {
+    return false;
+  }
+  const ListedTarget* known = FindKnownTarget(target);
+  return std::any_of(
+      found->second.begin(), found->second.end(), [&](const auto& item) {
+        const auto& [start_time_ms, grants] = item;
+        const bool ended = terminated && known != nullptr &&
+                           known->start_time_ms == start_time_ms;
+        return !ended && (grants.in_flight > 0 || now < grants.until);
+      });
 }
 
 std::vector<KeyCandidate> KeyLeader::Candidates(
@@ -401,7 +425,10 @@
     for (KeyAssignment& item : ranges) {
       const RangeState* state = FindState(service, item);
       const bool rejected = state != nullptr && state->fenced;
-      if ((rejected || IsUnverified(item, state)) &&
+      const bool may_have_restarted = state != nullptr && state->contact_lost &&
+                                      m_targets.contains(item.owner) &&
+                                      !IsUnresponsive(item.owner);
+      if ((rejected || may_have_restarted || IsUnverified(item, state)) &&
           MayChange(now, item, state)) {
         // The newest table names this leader, so only this leader may assign a
         // greater token.
@@ -430,7 +457,7 @@
     return true;
   }
   const auto may_hold = [this, now](const KeyAssignment& range) {
-    return MayHold(now, range);
+    return MayHaveGrant(now, range.owner);
   };
   const auto may_change = [this, now, &service](const KeyAssignment& range) {
     return MayChange(now, range, FindState(service, range));
@@ -455,7 +482,7 @@
   std::erase_if(result, [&](const KeyCandidate& item) {
     return IsUnresponsive(item.id) &&
            std::none_of(ranges.begin(), ranges.end(), [&](const auto& range) {
-             return range.owner == item.id && MayHold(now, range);
+             return range.owner == item.id && MayHaveGrant(now, range.owner);
            });
   });
   return result;
@@ -610,11 +637,9 @@
 
 const TargetId* KeyLeader::FindHolder(MonotonicTime now,
                                       const RangeState& state) const {
-  const auto found =
-      std::find_if(state.former_owners.begin(), state.former_owners.end(),
-                   [&](const TargetId& target) {
-                     return !HasTerminated(target) && MayHaveGrant(now, target);
-                   });
+  const auto found = std::find_if(
+      state.former_owners.begin(), state.former_owners.end(),
+      [&](const TargetId& target) { return MayHaveGrant(now, target); });
   return found == state.former_owners.end() ? nullptr : &*found;
 }
 
@@ -630,7 +655,7 @@
     const bool overlaps = old.first <= range.last && range.first <= old.last;
     if (overlaps && old.fencing_token != range.fencing_token &&
         old.owner != range.owner && old.owner != range.previous_owner &&
-        MayHold(now, old)) {
+        MayHaveGrant(now, old.owner)) {
       owners.push_back(old.owner);
     }
   }
@@ -667,7 +692,8 @@
       order.fencing_token = item.fencing_token;
       const TargetId* holder = FindHolder(now, state);
       const bool grants = holder == nullptr;
-      if (grants && state.reassigned) {
+      if (grants && (state.reassigned ||
+                     (state.contact_lost && MayChange(now, item, &state)))) {
         continue;
       }
       const ListedTarget* target =
@@ -679,13 +705,15 @@
       }
       order.kind = grants ? KeyOrder::Kind::kGrant : KeyOrder::Kind::kRelease;
       order.target = target->id;
+      order.start_time_ms = target->start_time_ms;
       order.address = target->address;
       if (grants) {
         state.has_long_grant = now >= m_confirmed_at + kLogUnresponsiveAge;
         order.grant_duration =
             state.has_long_grant ? kLongGrantDuration : kGrantDuration;
         order.handover_state = state.granted ? std::string() : state.handover;
-        ++m_grants_in_flight[order.target];
+        state.sent = true;
+        ++m_grants[order.target][order.start_time_ms].in_flight;
       }
       state.in_flight = true;
       orders.push_back(std::move(order));
@@ -705,52 +733,63 @@
     KeyOrder order;
     order.kind = KeyOrder::Kind::kProbe;
     order.target = target;
+    order.start_time_ms = listed->second.start_time_ms;
     order.address = listed->second.address;
     orders.push_back(std::move(order));
   }
 }
 
 void KeyLeader::UpdateProbes(MonotonicTime now,
-                             std::string_view target,
+                             const KeyOrder& order,
                              KeyOrderOutcome outcome) {
   switch (outcome) {
     case KeyOrderOutcome::kUnknown:
     case KeyOrderOutcome::kNotSent:
-      m_next_probe.insert_or_assign(TargetId(target), now + kProbeInterval);
+      m_next_probe.insert_or_assign(order.target, now + kProbeInterval);
+      OnContactLost(order.target);
       return;
     case KeyOrderOutcome::kGone:
-      if (const ListedTarget* known = FindKnownTarget(target)) {
-        m_terminated.insert_or_assign(known->id, known->start_time_ms);
-      }
+      m_terminated.insert_or_assign(order.target, order.start_time_ms);
       break;
     default:
       break;
   }
-  const auto found = m_next_probe.find(target);
+  const auto found = m_next_probe.find(order.target);
   if (found != m_next_probe.end()) {
     m_next_probe.erase(found);
   }
 }
 
+void KeyLeader::OnContactLost(std::string_view target) {
+  for (const auto& [service, ranges] : m_table.services) {
+    for (const KeyAssignment& item : ranges) {
+      const auto state = m_ranges.find({service, item.first});
+      if (item.owner == target && state != m_ranges.end()) {
+        state->second.contact_lost = state->second.sent;
+      }
+    }
+  }
+}
+
 void KeyLeader::RecordGrantResult(MonotonicTime now,
                                   const KeyOrder& order,
                                   KeyOrderOutcome outcome) {
-  const auto in_flight = m_grants_in_flight.find(order.target);
-  if (in_flight != m_grants_in_flight.end() && in_flight->second > 0) {
-    --in_flight->second;
+  Grants& grants = m_grants[order.target][order.start_time_ms];
+  if (grants.in_flight > 0) {
+    --grants.in_flight;
   }
   if (outcome == KeyOrderOutcome::kDone ||
       outcome == KeyOrderOutcome::kRejected ||
       outcome == KeyOrderOutcome::kUnknown) {
-    MonotonicTime& until = m_granted_until[order.target];
-    until = std::max(until, now + LongestElapsedTime(order.grant_duration));
+    grants.until =
+        std::max(grants.until, now + LongestElapsedTime(order.grant_duration));
   }
 }
 
 void KeyLeader::OnOrderResult(MonotonicTime now,
                               const KeyOrder& order,
                               const KeyOrderResult& result) {
-  UpdateProbes(now, order.target, result.outcome);
+  UpdateProbes(now, order, result.outcome);
   if (order.kind == KeyOrder::Kind::kProbe) {
     return;
   }
--- a/tests/unit/key_leader_test.cc
+++ b/tests/unit/key_leader_test.cc
@@ -468,6 +468,120 @@
   RequireRestartedOwnerKeepsKeys(KeyOrderOutcome::kDone);
 }
 
+// Guards against two owners of a key when another process answers at the
+// address of an entry that is not the target's own: the target holds what it
+// was granted before (OWNER).
+Test(key_leader, refusal_ends_only_the_grants_to_the_process_that_was_meant) {
+  LeaderFixture fixture;
+  fixture.BecomeLeaderOfTwoTargets();
+  fixture.AddTarget("a", 2);
+  cr_assert(fixture.AppendNextTable());
+  const auto finish_orders = [&fixture] {
+    bool granted_to_other = false;
+    for (const KeyOrder& order : fixture.TakeDueOrders()) {
+      granted_to_other =
+          granted_to_other || (order.kind == KeyOrder::Kind::kGrant &&
+                               order.target == "b" && order.first == 0);
+      fixture.Finish(order, order.target == "a" ? KeyOrderOutcome::kGone
+                                                : KeyOrderOutcome::kDone);
+    }
+    return granted_to_other;
+  };
+  cr_assert_not(finish_orders());
+  bool granted = false;
+  Milliseconds waited{0};
+  constexpr Milliseconds kStep{100};
+  for (; waited < KeyLeader::kGrantDuration * 2 && !granted; waited += kStep) {
+    fixture.Advance(kStep);
+    fixture.AppendNextTable();
+    granted = finish_orders();
+  }
+  cr_assert(granted);
+  cr_assert_gt(waited.count(), KeyLeader::kGrantDuration.count());
+  cr_assert_lt(waited.count(), (KeyLeader::kGrantDuration * 1.1).count());
+}
+
+// Guards against a restarted target that answers before its new entry is read,
+// and is granted its keys with the token of its former process (OWNER,
+// review/9).
+Test(key_leader, target_that_answers_again_gets_a_greater_token) {
+  LeaderFixture fixture;
+  fixture.BecomeLeaderOfTwoTargets();
+  const FencingToken before = fixture.Range(0).fencing_token;
+  const FencingToken other = fixture.Range(1).fencing_token;
+  fixture.Advance(KeyLeader::kRenewalInterval);
+  for (const KeyOrder& order : fixture.TakeDueOrders()) {
+    fixture.Finish(order, order.target == "a" ? KeyOrderOutcome::kNotSent
+                                              : KeyOrderOutcome::kDone);
+  }
+  bool granted = false;
+  for (int i = 0; i < 10 && !granted; ++i) {
+    fixture.Advance(Milliseconds(200));
+    fixture.AppendNextTable();
+    for (const KeyOrder& order : fixture.TakeDueOrders()) {
+      if (order.target == "a" && order.kind == KeyOrder::Kind::kGrant) {
+        cr_assert_gt(order.fencing_token, before);
+        granted = true;
+      }
+      fixture.Finish(order, KeyOrderOutcome::kDone);
+    }
+  }
+  cr_assert(granted);
+  cr_assert_eq(fixture.Range(0).owner, "a");
+  cr_assert_not(fixture.Range(0).moving());
+  cr_assert_eq(fixture.Range(1).fencing_token, other);
+}
+
+// Guards against a handover that is lost, and a release that is sent again,
+// because the first grant to the new owner got no answer.
+Test(key_leader, unanswered_first_grant_keeps_the_handover) {
+  LeaderFixture fixture;
+  fixture.BecomeLeaderOfTwoTargets();
+  fixture.SetLeaving("a");
+  cr_assert(fixture.AppendNextTable());
+  const FencingToken released = fixture.Range(0).fencing_token;
+  for (const KeyOrder& order : fixture.TakeDueOrders()) {
+    fixture.Finish(order, KeyOrderOutcome::kDone,
+                   order.kind == KeyOrder::Kind::kRelease ? "state" : "");
+  }
+  for (const KeyOrder& order : fixture.TakeDueOrders()) {
+    fixture.Finish(order, KeyOrderOutcome::kUnknown);
+  }
+  bool granted = false;
+  for (int i = 0; i < 10 && !granted; ++i) {
+    fixture.Advance(Milliseconds(200));
+    fixture.AppendNextTable();
+    for (const KeyOrder& order : fixture.TakeDueOrders()) {
+      cr_assert_neq(order.kind, KeyOrder::Kind::kRelease);
+      if (order.kind == KeyOrder::Kind::kGrant && order.first == 0) {
+        cr_assert_eq(order.handover_state, "state");
+        cr_assert_gt(order.fencing_token, released);
+        granted = true;
+      }
+      fixture.Finish(order, KeyOrderOutcome::kDone);
+    }
+  }
+  cr_assert(granted);
+}
+
+// Guards against keys that are taken from a restarted target because its former
+// address answers an order late (OWNER).
+Test(key_leader, late_refusal_does_not_end_the_next_process) {
+  LeaderFixture fixture;
+  fixture.BecomeLeaderOfTwoTargets();
+  fixture.Advance(KeyLeader::kRenewalInterval);
+  const std::vector<KeyOrder> renewals = fixture.TakeDueOrders();
+  fixture.AddTarget("a", 2);
+  cr_assert(fixture.AppendNextTable());
+  for (const KeyOrder& order : renewals) {
+    fixture.Finish(order, order.target == "a" ? KeyOrderOutcome::kGone
+                                              : KeyOrderOutcome::kDone);
+  }
+  fixture.AppendNextTable();
+  cr_assert_eq(fixture.Range(0).owner, "a");
+  cr_assert_not(fixture.Range(0).moving());
+}
+
 // Guards against grants that are no longer renewed because a grant of the whole
 // range was in flight while a part of the range was released.
 Test(key_leader, rejected_grant_of_a_former_range_does_not_stop_renewals) {
