Tests: no move of what the registry takes by reference

clang-tidy rejects it (performance-move-const-arg); the changes of a read are passed by reference since they are a sequence. Behaviour is unchanged.

--- a/tests/unit/target_registry_test.cc
+++ b/tests/unit/target_registry_test.cc
@@ -30,7 +30,7 @@
                 std::optional<ListedTarget> entry) {
   TargetRegistry::Changes changes;
   changes.emplace_back("a", std::move(entry));
-  registry.OnRead(now, std::move(changes), false);
+  registry.OnRead(now, changes, false);
 }
 
 // Guards against a warm-up that never gets known because each entry extends it
@@ -108,7 +108,7 @@
   for (const char* id : {"a", "b", "c", "d"}) {
     changes.emplace_back(id, MakeNamedEntry(id, 1));
   }
-  registry.OnRead(kStart, std::move(changes), true);
+  registry.OnRead(kStart, changes, true);
   ReadChange(registry, kStart + Milliseconds(9000), std::nullopt);
   cr_assert_eq(registry.targets().size(), 3);
 }
