--- a/tests/unit/support/key_owner_simulation.h
+++ b/tests/unit/support/key_owner_simulation.h
@@ -56,10 +56,10 @@
 
   MonotonicTime now() const { return m_now; }
   const std::vector<std::string>& violations() const { return m_violations; }
-  // Number of leases that a live target lost without a release.
   // From now on, a target that holds a key by a token of its former process
   // counts as a violation too.
   void CheckProcesses() { m_checks_processes = true; }
+  // Number of leases that a live target lost without a release.
   int lapsed_leases() const { return m_lapsed_leases; }
   // Number of simulated keys that no live target holds.
   std::size_t UnownedKeys() const {
